--- /dev/null
+++ b/include/sesamepaddle/admission/demand_quota.h
@@ -0,0 +1,80 @@
+#ifndef SESAMEPADDLE_ADMISSION_DEMAND_QUOTA_H
+#define SESAMEPADDLE_ADMISSION_DEMAND_QUOTA_H
+
+#include "sesamepaddle/core/clock.h"
+#include "sesamepaddle/core/identifiers.h"
+#include "sesamepaddle/shares/token_bucket.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace sesamepaddle {
+
+/** A workspace's rate and burst, over all VMs, and what may slip beyond them. */
+struct quota_terms {
+  double RatePerSecond = 0; ///< 0: unlimited
+  double Burst = 0;
+  std::chrono::milliseconds Window{5'000};
+  double OvershootRatio = 0.1; ///< of what a window allows
+  double OvershootSlack = 20;  ///< requests in a window
+};
+
+/** Requests a second of each workspace that a VM was asked for. */
+using workspace_demand = std::map<std::string, double>;
+
+/** This VM's part of the rate and burst of every workspace.
+
+    Each VM publishes its demand for each workspace; its part of a limit is its
+    published demand over that of all VMs, and a small even part. A VM uses for
+    itself the demand that it published, not a newer one, so that the parts of
+    all VMs add up to one once the last message has arrived. A VM that has gone
+    silent keeps its part, as it may be serving behind a cut.
+*/
+class demand_quota {
+public:
+  /** Counts a request of @p Workspace, admitted or not.
+      @returns true when this VM admits it */
+  bool admit(const workspace_name &Workspace, const quota_terms &Terms,
+             time_point Now);
+
+  /** @returns seconds until this VM is likely to admit a request again. */
+  double secondsToAdmission(const workspace_name &Workspace,
+                            const quota_terms &Terms, time_point Now);
+
+  /** Measures the demand since the last call and makes it this VM's own part.
+      @param IsHeard  false while other VMs can't hear it: then what was
+                      published last stands
+      @returns what to tell the others */
+  workspace_demand publish(time_point Now, bool IsHeard);
+
+  /** Takes the demand of another VM. */
+  void applyPeer(const std::string &Vm, workspace_demand Demand);
+
+  /** Forgets a VM that has left for good. */
+  void removePeer(const std::string &Vm);
+
+  /** @returns this VM's part of the workspace's limit, in (0, 1]. */
+  double part(const workspace_name &Workspace) const;
+
+private:
+  struct account {
+    double RecentRate = 0; ///< moving average, per second
+    double Published = 0;
+    std::size_t SinceMeasured = 0;
+    std::optional<token_bucket> Bucket;
+  };
+
+  account &reshaped(const workspace_name &Workspace, const quota_terms &Terms,
+                    time_point Now);
+
+  std::unordered_map<std::string, account> Accounts;
+  std::map<std::string, workspace_demand> Peers;
+  time_point LastMeasured{};
+};
+
+} // namespace sesamepaddle
+
+#endif
--- /dev/null
+++ b/include/sesamepaddle/ingress/ingress.h
@@ -0,0 +1,14 @@
+/// Module ingress: the path of a request through a VM, from its caller to an
+/// endpoint and back, and what the VMs tell each other.
+///
+/// One thread runs everything, as the VMs have a fraction of a core: see
+/// docs/design/ingress.md. Uses core, net, telemetry, routing, placing,
+/// admission, moves, upstreams and steering.
+#ifndef SESAMEPADDLE_INGRESS_INGRESS_H
+#define SESAMEPADDLE_INGRESS_INGRESS_H
+
+#include "sesamepaddle/ingress/fleet_state.h"
+#include "sesamepaddle/ingress/ingress_node.h"
+#include "sesamepaddle/ingress/ingress_options.h"
+
+#endif
--- a/include/sesamepaddle/net/worker_pool.h
+++ b/include/sesamepaddle/net/worker_pool.h
@@ -16,6 +16,10 @@
 class worker_pool {
 public:
   explicit worker_pool(std::size_t Workers);
+
+  /** Makes a pool of one worker from @p Context, which its owner runs: for
+      processes that have a fraction of a core and need no thread. */
+  explicit worker_pool(asio::io_context &Context);
   ~worker_pool();
   worker_pool(const worker_pool &) = delete;
   worker_pool &operator=(const worker_pool &) = delete;
--- /dev/null
+++ b/include/sesamepaddle/routing/fleet_configuration.h
@@ -0,0 +1,126 @@
+#ifndef SESAMEPADDLE_ROUTING_FLEET_CONFIGURATION_H
+#define SESAMEPADDLE_ROUTING_FLEET_CONFIGURATION_H
+
+#include "sesamepaddle/core/identifiers.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sesamepaddle {
+
+/** What may be repeated on a route. */
+enum class request_kind : std::uint8_t {
+  Idempotent, ///< may run more than once
+  AtMostOnce, ///< must not be sent again once it may have run
+};
+
+/** A service that takes a share of a route's requests. */
+struct weighted_service {
+  service_name Service;
+  double Weight = 1;
+};
+
+/** One route of a host. */
+struct fleet_route {
+  route_name Name;
+  std::string Prefix; ///< begins and ends with a slash
+  request_kind Kind = request_kind::AtMostOnce;
+  std::chrono::milliseconds Timeout{0};
+  std::chrono::milliseconds LatencyObjective{0};
+  int Priority = 0; ///< 0 is the most urgent
+  std::vector<weighted_service> Services;
+  unsigned MaxAttempts = 1; ///< endpoints that one request may be sent to
+  bool IsPublic = false;    ///< takes requests without a key
+  bool IsSticky = false;    ///< endpoints are faster on objects they know
+  std::vector<region_name> HomeRegions; ///< empty: all regions
+
+  /** @returns the service for a draw in [0, 1), by the weights. */
+  const service_name &serviceFor(double Draw) const;
+};
+
+/** What a workspace may send, over all VMs together. */
+struct workspace_terms {
+  workspace_name Name;
+  int Priority = 0;
+  double RatePerSecond = 0; ///< 0: unlimited
+  double Burst = 0;
+  std::vector<std::string> Keys;
+  std::vector<region_name> HomeRegions;
+};
+
+/** What an upstream's endpoints tolerate. */
+struct service_terms {
+  service_name Name;
+  std::chrono::milliseconds ColdStart{0};
+  double ColdRequestsPerSecond = 0; ///< 0: unlimited
+  unsigned ConnectionLimit = 0;     ///< per endpoint, from all VMs together
+};
+
+/** What callers may send, and how long they may take. */
+struct caller_limits {
+  std::size_t HeaderBytes = 16 * 1024;
+  std::size_t BodyBytes = 64U * 1024 * 1024;
+  std::chrono::milliseconds HeaderTimeout{3'000};
+  std::chrono::milliseconds IdleTimeout{15'000};
+};
+
+/** Everything a configuration says; the input of fleet_configuration. */
+struct configuration_content {
+  std::uint64_t Version = 0;
+  std::map<std::string, std::vector<fleet_route>> RoutesByHost;
+  std::vector<workspace_terms> Workspaces;
+  std::vector<service_terms> Services;
+  caller_limits Limits;
+};
+
+/** One version of the fleet's configuration, immutable and indexed. */
+class fleet_configuration {
+public:
+  explicit fleet_configuration(configuration_content Content);
+
+  std::uint64_t version() const { return Content.Version; }
+  const caller_limits &limits() const { return Content.Limits; }
+  std::span<const workspace_terms> workspaces() const {
+    return Content.Workspaces;
+  }
+  std::span<const service_terms> services() const { return Content.Services; }
+
+  /** Finds the route with the longest prefix of @p Path among those of @p Host.
+      @param Host  as the caller sent it, with or without a port
+      @param Path  without its query
+      @returns the route, or null */
+  const fleet_route *findRoute(std::string_view Host,
+                               std::string_view Path) const;
+
+  /** @returns the workspace that holds @p Key, or null. */
+  const workspace_terms *findWorkspace(std::string_view Key) const;
+
+  /** @returns the terms of @p Service, or null. */
+  const service_terms *findService(const service_name &Service) const;
+
+  /** @returns true when requests need a key unless their route is public. */
+  bool isKeyRequired() const { return !Content.Workspaces.empty(); }
+
+private:
+  configuration_content Content;
+  std::unordered_map<std::string, const workspace_terms *> WorkspaceByKey;
+};
+
+using configuration_pointer = std::shared_ptr<const fleet_configuration>;
+
+/** @returns true when both lists of homes, where not empty, hold @p Region. */
+bool isRegionAllowed(const region_name &Region,
+                     std::span<const region_name> RouteHomes,
+                     std::span<const region_name> WorkspaceHomes);
+
+} // namespace sesamepaddle
+
+#endif
--- a/src/command_line/command.h
+++ b/src/command_line/command.h
@@ -58,6 +58,7 @@
 std::optional<std::string> readFile(const std::string &Path);
 
 command makeServeCommand();
+command makeIngressCommand();
 command makeCheckCommand();
 std::vector<command> makeDocumentCommands();
 command makeStatusCommand();
--- a/src/command_line/command_line.cpp
+++ b/src/command_line/command_line.cpp
@@ -12,6 +12,7 @@
 std::vector<command> allCommands() {
   std::vector<command> Commands;
   Commands.push_back(makeServeCommand());
+  Commands.push_back(makeIngressCommand());
   Commands.push_back(makeCheckCommand());
   for (auto &Command : makeDocumentCommands())
     Commands.push_back(std::move(Command));
--- /dev/null
+++ b/src/ingress/fleet_state.cpp
@@ -0,0 +1,177 @@
+#include "sesamepaddle/ingress/fleet_state.h"
+
+#include <algorithm>
+
+namespace sesamepaddle {
+
+namespace {
+
+// The store counts as reached when it answered this lately: two of the feed's
+// turns of a second.
+constexpr std::chrono::milliseconds StoreFreshness{2'500};
+// Callers pick one of the addresses at random, so few are named beyond the
+// caller's own failure domain: enough that one dead VM leaves another.
+constexpr std::size_t LeastAddresses = 2;
+constexpr std::size_t MostAddresses = 64;
+
+} // namespace
+
+fleet_state::fleet_state(ingress_options Given)
+    : Options(std::move(Given)),
+      Random(static_cast<std::uint64_t>(Options.Vm.Incarnation)) {}
+
+bool fleet_state::setConfiguration(configuration_pointer Newer) {
+  if (Configuration && Newer->version() <= Configuration->version())
+    return false;
+  Configuration = std::move(Newer);
+  return true;
+}
+
+void fleet_state::setEvacuated(std::set<failure_domain_name> Domains,
+                               time_point Now) {
+  for (const auto &Domain : Evacuated) {
+    if (Domains.contains(Domain) || !Configuration)
+      continue;
+    for (const auto &Service : Configuration->services())
+      for (const auto &Endpoint : Registry.of(Service.Name))
+        if (Endpoint->Record.FailureDomain == Domain)
+          Endpoint->suspectCold(Now);
+  }
+  Evacuated = std::move(Domains);
+}
+
+void fleet_state::setRollout(const rollout_order &Order, duration Age,
+                             time_point Now) {
+  const auto Found = Rollouts.find(Order.Service);
+  if (Found != Rollouts.end() && Found->second.order() == Order)
+    return;
+  Rollouts.erase(Order.Service);
+  Rollouts.emplace(Order.Service,
+                   fleet_rollout(Order, Options.Bounds.Rollout, Now - Age));
+  if (const auto Past = Recorded.find(Order.Service);
+      Past != Recorded.end() && Past->second.To == Order.To)
+    Rollouts.at(Order.Service).record(Past->second.Outcome);
+}
+
+void fleet_state::removeRollout(const service_name &Service) {
+  Rollouts.erase(Service);
+}
+
+void fleet_state::recordRollout(const service_name &Service,
+                                const version_name &To,
+                                rollout_outcome Outcome) {
+  Recorded[Service] = {To, Outcome};
+  if (const auto Found = Rollouts.find(Service);
+      Found != Rollouts.end() && Found->second.order().To == To)
+    Found->second.record(Outcome);
+}
+
+bool fleet_state::isStoreFresh(time_point Now) const {
+  return LastStoreContact != time_point{} &&
+         Now - LastStoreContact < StoreFreshness;
+}
+
+void fleet_state::applyVm(known_vm Vm) {
+  if (Vm.Name == Options.Vm.Name)
+    return;
+  auto &Known = Vms[Vm.Name];
+  const auto FirstKnown =
+      Known.FirstKnown == time_point{} ? Vm.LastHeard : Known.FirstKnown;
+  Known = std::move(Vm);
+  Known.FirstKnown = FirstKnown;
+}
+
+void fleet_state::learnVm(known_vm Vm) {
+  if (Vm.Name == Options.Vm.Name || Vms.contains(Vm.Name))
+    return;
+  Vms.emplace(Vm.Name, std::move(Vm));
+}
+
+std::size_t fleet_state::vmRank() const {
+  return static_cast<std::size_t>(
+      std::count_if(Vms.begin(), Vms.end(), [this](const auto &Entry) {
+        return Entry.first < Options.Vm.Name;
+      }));
+}
+
+double fleet_state::draw() {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
+quota_terms fleet_state::termsOf(const workspace_terms &Workspace) const {
+  return {Workspace.RatePerSecond, Workspace.Burst,
+          Options.Bounds.QuotaWindow, Options.Bounds.QuotaOvershoot,
+          Options.Bounds.QuotaSlack};
+}
+
+version_choice fleet_state::drawVersion(const service_name &Service) {
+  if (const auto Found = Rollouts.find(Service); Found != Rollouts.end()) {
+    const auto &To = Found->second.order().To;
+    if (Found->second.drawNew(draw(), vmCount()))
+      return {To, {}, true};
+    return {{}, To, false};
+  }
+  if (const auto Past = Recorded.find(Service); Past != Recorded.end())
+    return Past->second.Outcome == rollout_outcome::Completed
+               ? version_choice{Past->second.To, {}, false}
+               : version_choice{{}, Past->second.To, false};
+  return {};
+}
+
+placed_endpoint fleet_state::place(const service_name &Service,
+                                   const placement_request &Request,
+                                   time_point Now) {
+  placement_limits Limits;
+  Limits.EvacuatedDomains = Evacuated;
+  if (const auto *Terms =
+          Configuration ? Configuration->findService(Service) : nullptr)
+    Limits.ColdRequestsPerSecond = Terms->ColdRequestsPerSecond;
+  Limits.Vms = vmCount();
+  Limits.VmRank = vmRank();
+  return placeRequest(Registry.of(Service), Request, Limits, Options.Placement,
+                      Now);
+}
+
+std::vector<std::string>
+fleet_state::callerAddresses(const region_name &Region,
+                             const failure_domain_name &Domain,
+                             time_point Now) const {
+  struct named {
+    int Distance;
+    std::string Address;
+  };
+  const auto distance = [&](const region_name &VmRegion,
+                            const failure_domain_name &VmDomain) {
+    if (VmDomain == Domain)
+      return 0;
+    return VmRegion == Region ? 1 : 2;
+  };
+  std::vector<named> Named;
+  if (!IsDraining && Configuration)
+    Named.push_back({distance(Options.Vm.Region, Options.Vm.FailureDomain),
+                     Options.Vm.CallerAddress});
+  for (const auto &[Name, Vm] : Vms)
+    if (Vm.IsReady && Now - Vm.LastHeard < Options.Bounds.VmSilence)
+      Named.push_back(
+          {distance(Vm.Region, Vm.FailureDomain), Vm.CallerAddress});
+  std::stable_sort(Named.begin(), Named.end(),
+                   [](const named &Left, const named &Right) {
+                     return Left.Distance < Right.Distance;
+                   });
+  std::vector<std::string> Addresses;
+  int Distance = 0;
+  for (auto &Vm : Named) {
+    const bool IsEnough = Addresses.size() >= LeastAddresses;
+    if (Addresses.size() >= MostAddresses ||
+        (Vm.Distance > Distance && IsEnough))
+      break;
+    // Another region takes callers only when their own has no VM left.
+    if (Vm.Distance == 2 && !Addresses.empty() && Distance < 2)
+      break;
+    Distance = Vm.Distance;
+    Addresses.push_back(std::move(Vm.Address));
+  }
+  return Addresses;
+}
+
+} // namespace sesamepaddle
--- /dev/null
+++ b/src/ingress/gossip_message.h
@@ -0,0 +1,78 @@
+#ifndef SESAMEPADDLE_SRC_INGRESS_GOSSIP_MESSAGE_H
+#define SESAMEPADDLE_SRC_INGRESS_GOSSIP_MESSAGE_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace sesamepaddle {
+
+/** A VM that the sender knows. */
+struct gossip_vm {
+  std::string Name;
+  std::string Address;
+  MSGPACK_DEFINE(Name, Address)
+};
+
+/** Answers of both versions on one route. */
+struct gossip_counts {
+  std::string Route;
+  std::uint32_t NewGood = 0;
+  std::uint32_t NewBad = 0;
+  std::uint32_t OldGood = 0;
+  std::uint32_t OldBad = 0;
+  MSGPACK_DEFINE(Route, NewGood, NewBad, OldGood, OldBad)
+};
+
+/** What the sender saw of a rollout. */
+struct gossip_rollout {
+  std::string Service;
+  std::string To;
+  bool IsFaulty = false;
+  bool IsCompleted = false;  ///< recorded
+  bool IsRolledBack = false; ///< recorded
+  std::vector<gossip_counts> Counts;
+  MSGPACK_DEFINE(Service, To, IsFaulty, IsCompleted, IsRolledBack, Counts)
+};
+
+/** A request that crashed an endpoint. */
+struct gossip_crash {
+  std::string Fingerprint;
+  std::string Endpoint;
+  MSGPACK_DEFINE(Fingerprint, Endpoint)
+};
+
+/** What a VM tells each other VM, one datagram. */
+struct gossip_message {
+  std::uint8_t Format = 1;
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+  std::string Region;
+  std::string FailureDomain;
+  std::string CallerAddress;
+  std::string GossipAddress;
+  bool IsReady = false;
+  bool WantsVms = false; ///< asks for the VMs that the receiver knows
+  std::map<std::string, float> Demand; ///< requests a second by workspace
+  std::vector<gossip_rollout> Rollouts;
+  std::vector<gossip_crash> Crashes;
+  std::vector<gossip_vm> Vms;
+  MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
+                 CallerAddress, GossipAddress, IsReady, WantsVms, Demand,
+                 Rollouts, Crashes, Vms)
+};
+
+/** @returns the datagram for @p Message. */
+std::string encodeGossip(const gossip_message &Message);
+
+/** @returns the message in @p Datagram, or nothing when it is none. */
+std::optional<gossip_message> decodeGossip(std::string_view Datagram);
+
+} // namespace sesamepaddle
+
+#endif
--- /dev/null
+++ b/src/ingress/ingress_node.cpp
@@ -0,0 +1,254 @@
+#include "sesamepaddle/ingress/ingress_node.h"
+
+#include "ingress/caller_session.h"
+#include "ingress/vm_gossip.h"
+#include "sesamepaddle/net/failures.h"
+#include "sesamepaddle/net/http_server.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <list>
+
+namespace sesamepaddle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long callers keep an answer of the directory. They may keep it three
+// times as long, which has to pass before a leaving VM stops.
+constexpr double DirectorySeconds = 1.0;
+constexpr milliseconds LookupLifetime{3'300};
+// Kept between the end of a drain and the kill.
+constexpr milliseconds KillMargin{350};
+constexpr milliseconds TickInterval{100};
+// Connections waiting to be accepted; the kernel may allow fewer.
+constexpr int Backlog = 1'024;
+
+} // namespace
+
+class ingress_node::implementation
+    : public std::enable_shared_from_this<implementation> {
+public:
+  implementation(worker_pool &Pool, ingress_options Options,
+                 extra_handler Extra)
+      : Pool(Pool), Fleet(std::move(Options)),
+        Upstreams(Fleet.options().Fields.RequestId),
+        Path(Fleet, Upstreams, Metrics, Decisions),
+        Sessions(std::make_shared<session_context>(
+            session_context{Fleet, Path})),
+        Gossip(std::make_shared<vm_gossip>(Pool.context(0), Fleet, Path)),
+        Acceptor(Pool.context(0)), Tick(Pool.context(0)),
+        Extra(std::move(Extra)) {}
+
+  absl::Status start() {
+    const auto &Vm = Fleet.options().Vm;
+    if (const auto Status = listen(Vm.CallerAddress); !Status.ok())
+      return Status;
+    if (const auto Status = Gossip->start(); !Status.ok())
+      return Status;
+    for (const auto &Address : {Vm.ReadinessAddress, Vm.DirectoryAddress,
+                                Vm.MetricsAddress})
+      if (const auto Status = serveHttp(Address); !Status.ok())
+        return Status;
+    const auto Self = shared_from_this();
+    asio::co_spawn(Pool.context(0), acceptLoop(),
+                   [Self](const std::exception_ptr &) {});
+    asio::co_spawn(Pool.context(0), tickLoop(),
+                   [Self](const std::exception_ptr &) {});
+    Log.info(absl::StrCat("started name=", Vm.Name.str(), " incarnation=",
+                          static_cast<std::uint64_t>(Vm.Incarnation),
+                          " callers=", Vm.CallerAddress));
+    return absl::OkStatus();
+  }
+
+  void drain(std::function<void()> Done) {
+    if (Fleet.IsDraining)
+      return;
+    Fleet.IsDraining = true;
+    DrainStart = boot_clock::now();
+    OnDrained = std::move(Done);
+    Gossip->sendNow();
+    Log.info(absl::StrCat("draining requests=", Path.inFlight(),
+                          " connections=", Sessions->Open));
+  }
+
+  fleet_state &fleet() { return Fleet; }
+
+private:
+  absl::Status listen(const std::string &Address) {
+    const auto Endpoint = parseEndpoint(Address);
+    if (!Endpoint.ok())
+      return Endpoint.status();
+    boost::system::error_code Error;
+    Acceptor.open(Endpoint->protocol(), Error);
+    if (!Error)
+      Acceptor.set_option(asio::socket_base::reuse_address(true), Error);
+    if (!Error)
+      Acceptor.bind(*Endpoint, Error);
+    if (!Error)
+      Acceptor.listen(Backlog, Error);
+    if (Error)
+      return makeFailure(net_failure::ListenFailed,
+                         absl::StrCat(Address, ": ", Error.message()));
+    return absl::OkStatus();
+  }
+
+  absl::Status serveHttp(const std::string &Address) {
+    if (Address.empty() || Address == Fleet.options().Vm.CallerAddress)
+      return absl::OkStatus();
+    auto Server = http_server::start(
+        Pool, Address,
+        [this](const http_exchange &Exchange) -> awaitable<http_reply> {
+          co_return answer(Exchange.Request);
+        });
+    if (!Server.ok())
+      return Server.status();
+    Servers.push_back(std::move(*Server));
+    return absl::OkStatus();
+  }
+
+  http_reply answer(const http_request &Request) {
+    const auto Where = targetPath(Request.Target);
+    const auto &Paths = Fleet.options().Paths;
+    if (Where == Paths.Readiness) {
+      const bool IsReady = !Fleet.IsDraining && Fleet.configuration();
+      return {IsReady ? 200U : 503U, {}, {}};
+    }
+    if (Where == Paths.Directory)
+      return answerLookup(Request.Target);
+    if (Where == Paths.Metrics)
+      return {200, {{"Content-Type", "text/plain; version=0.0.4"}},
+              metricsText()};
+    if (Extra)
+      if (auto Reply = Extra(Request))
+        return std::move(*Reply);
+    return makeJsonReply(404, "{\"error\":\"no-such-path\"}\n");
+  }
+
+  http_reply answerLookup(const std::string &Target) {
+    const auto &Codec = Fleet.options().Directory;
+    const auto Question = Codec.Read(Target);
+    const auto Addresses = Fleet.callerAddresses(
+        Question.Region, Question.FailureDomain, boot_clock::now());
+    if (Addresses.empty())
+      return makeJsonReply(503, "{\"error\":\"no-vm-ready\"}\n");
+    return makeJsonReply(200, Codec.Write(Addresses, DirectorySeconds));
+  }
+
+  std::string metricsText() {
+    return absl::StrCat(
+        Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
+        "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
+        "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
+        "\nsesamepaddle_endpoint_connections_idle ",
+        Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
+        Fleet.endpoints().size(), "\nsesamepaddle_vms ", Fleet.vmCount(),
+        "\nsesamepaddle_configuration_version ",
+        Fleet.configuration() ? Fleet.configuration()->version() : 0,
+        "\nsesamepaddle_body_bytes_held ", Sessions->BodyBytesHeld, "\n");
+  }
+
+  awaitable<void> acceptLoop() {
+    while (Acceptor.is_open()) {
+      boost::system::error_code Error;
+      tcp::socket Socket = co_await Acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, Error));
+      if (Error == asio::error::operation_aborted)
+        co_return;
+      if (Error) {
+        // Out of descriptors, most likely: wait for some to be freed.
+        asio::steady_timer Pause(Pool.context(0), milliseconds(20));
+        co_await Pause.async_wait(asio::use_awaitable);
+        continue;
+      }
+      boost::system::error_code Ignored;
+      Socket.set_option(tcp::no_delay(true), Ignored);
+      Socket.non_blocking(true, Ignored);
+      const auto Session =
+          std::make_shared<caller_session>(std::move(Socket), Sessions);
+      std::erase_if(Open, [](const auto &Entry) { return Entry.expired(); });
+      Open.push_back(Session);
+      asio::co_spawn(Pool.context(0), Session->run(),
+                     [Session](const std::exception_ptr &) {});
+    }
+  }
+
+  awaitable<void> tickLoop() {
+    for (int Turn = 0;; ++Turn) {
+      boost::system::error_code Error;
+      Tick.expires_after(TickInterval);
+      co_await Tick.async_wait(asio::redirect_error(asio::use_awaitable, Error));
+      const auto Now = boot_clock::now();
+      Fleet.endpoints().expire(Now);
+      for (auto &[Service, Rollout] : Fleet.rollouts())
+        Rollout.advance(Now, Fleet.isStoreFresh(Now));
+      if (Turn % 10 == 0)
+        Upstreams.sweep(Now);
+      if (Fleet.IsDraining && OnDrained)
+        advanceDrain(Now);
+    }
+  }
+
+  // Callers may come for as long as they keep an answer that names this VM;
+  // then idle connections are closed, and what runs has the rest of the grace.
+  void advanceDrain(time_point Now) {
+    const auto Age = Now - DrainStart;
+    const auto Latest = Fleet.options().Bounds.GracePeriod - KillMargin;
+    if (Age >= LookupLifetime && !Sessions->IsClosingIdle) {
+      Sessions->IsClosingIdle = true;
+      for (const auto &Entry : Open)
+        if (const auto Session = Entry.lock())
+          Session->wake();
+    }
+    const bool IsQuiet = Sessions->IsClosingIdle && Path.inFlight() == 0 &&
+                         Age >= LookupLifetime + 2 * TickInterval;
+    if (!IsQuiet && Age < Latest)
+      return;
+    Log.info(absl::StrCat("drained requests=", Path.inFlight(),
+                          " connections=", Sessions->Open));
+    Gossip->stop();
+    std::exchange(OnDrained, nullptr)();
+  }
+
+  worker_pool &Pool;
+  fleet_state Fleet;
+  upstream_pool Upstreams;
+  metrics Metrics;
+  decision_log Decisions{"ingress"};
+  part_log Log{"node"};
+  request_path Path;
+  std::shared_ptr<session_context> Sessions;
+  std::shared_ptr<vm_gossip> Gossip;
+  tcp::acceptor Acceptor;
+  asio::steady_timer Tick;
+  extra_handler Extra;
+  std::vector<std::unique_ptr<http_server>> Servers;
+  std::list<std::weak_ptr<caller_session>> Open;
+  time_point DrainStart{};
+  std::function<void()> OnDrained;
+};
+
+absl::StatusOr<std::unique_ptr<ingress_node>>
+ingress_node::start(worker_pool &Pool, ingress_options Options,
+                    extra_handler Extra) {
+  auto Implementation = std::make_shared<implementation>(
+      Pool, std::move(Options), std::move(Extra));
+  if (const auto Status = Implementation->start(); !Status.ok())
+    return Status;
+  return std::unique_ptr<ingress_node>(
+      new ingress_node(std::move(Implementation)));
+}
+
+ingress_node::ingress_node(std::shared_ptr<implementation> Implementation)
+    : Implementation(std::move(Implementation)) {}
+
+ingress_node::~ingress_node() = default;
+
+void ingress_node::drain(std::function<void()> Done) {
+  Implementation->drain(std::move(Done));
+}
+
+fleet_state &ingress_node::fleet() { return Implementation->fleet(); }
+
+} // namespace sesamepaddle
--- /dev/null
+++ b/src/ingress/request_path.cpp
@@ -0,0 +1,417 @@
+#include "ingress/request_path.h"
+
+#include "sesamepaddle/core/text.h"
+#include "sesamepaddle/steering/rendezvous.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include <algorithm>
+
+namespace sesamepaddle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Opening a connection takes two ways between regions at most (24 ms) and about
+// 1 ms at the endpoint; a lost packet is sent again after longer than this.
+constexpr milliseconds ConnectTimeout{250};
+// Time beyond the deadline that an endpoint is given for its answer to arrive.
+constexpr milliseconds AnswerGrace{100};
+// Below this nothing useful can be done at another endpoint.
+constexpr milliseconds LeastTimeForRetry{40};
+// Endpoints that may be tried for one request without one being reached.
+constexpr int MaxUnreached = 3;
+// Callers come back spread over this time after a refusal, so that those of
+// one moment do not meet again.
+constexpr double RetrySpreadSeconds = 0.25;
+constexpr double ShortRetrySeconds = 0.08;
+constexpr double NoConfigurationRetrySeconds = 0.4;
+
+double toMilliseconds(duration Span) {
+  return std::chrono::duration<double, std::milli>(Span).count();
+}
+
+/** @returns the load in @p Text ("running,waiting,slots"), if it is one. */
+std::optional<reported_load> parseLoad(std::string_view Text) {
+  const std::vector<absl::string_view> Parts =
+      absl::StrSplit(toAbsl(Text), ',');
+  reported_load Load;
+  if (Parts.size() != 3 || !absl::SimpleAtoi(Parts[0], &Load.Running) ||
+      !absl::SimpleAtoi(Parts[1], &Load.Waiting) ||
+      !absl::SimpleAtoi(Parts[2], &Load.Slots))
+    return std::nullopt;
+  return Load;
+}
+
+enum class answer_meaning : std::uint8_t {
+  Final,    ///< the endpoint's answer, to be passed on
+  NotRun,   ///< the endpoint says that it did not run the request
+  Replaced, ///< another endpoint has its address; not run
+  Unproved, ///< a success without the endpoint's proof
+};
+
+answer_meaning classify(const http_reply &Reply,
+                        const request_field_names &Fields) {
+  if (Reply.Status == 421)
+    return answer_meaning::Replaced;
+  if (!findHeader(Reply.Headers, Fields.NotRun).empty())
+    return answer_meaning::NotRun;
+  const bool IsSuccess = Reply.Status >= 200 && Reply.Status < 300;
+  if (IsSuccess && findHeader(Reply.Headers, Fields.EndpointProof).empty())
+    return answer_meaning::Unproved;
+  return answer_meaning::Final;
+}
+
+bool isFaultStatus(unsigned Status) { return Status >= 500; }
+
+} // namespace
+
+/** What is known of one request while it is under way. */
+struct request_path::pass {
+  ingress_request Request;
+  std::string RequestId;
+  std::string_view Host;
+  std::string_view Path;
+  configuration_pointer Configuration; ///< keeps the two below alive
+  const fleet_route *Route = nullptr;
+  const workspace_terms *Workspace = nullptr;
+  service_name Service;
+  version_choice Version;
+  time_point Deadline;
+  std::uint64_t ObjectHash = 0;
+  std::string Fingerprint;
+  std::vector<endpoint_pointer> Tried;
+  unsigned Arrivals = 0; ///< endpoints that it was sent to
+  int Unreached = 0;
+  bool MayHaveRun = false;
+  exchange_end LastEnd = exchange_end::NotConnected;
+  std::string Reason;
+  std::string Endpoint;
+};
+
+request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
+                           metrics &Metrics, decision_log &Log)
+    : Fleet(Fleet), Upstreams(Upstreams), Metrics(Metrics), Log(Log) {}
+
+http_reply request_path::refuse(const pass &Pass, unsigned Status,
+                                std::string_view Reason,
+                                double RetryAfterSeconds) {
+  http_reply Reply = makeJsonReply(
+      Status, absl::StrCat("{\"error\":\"", toAbsl(Reason), "\"}\n"));
+  if (RetryAfterSeconds > 0)
+    Reply.Headers.push_back(
+        {"Retry-After",
+         absl::StrCat(RetryAfterSeconds + Fleet.draw() * RetrySpreadSeconds)});
+  Reply.Headers.push_back({Fleet.options().Fields.RequestId, Pass.RequestId});
+  return Reply;
+}
+
+// Called before each sending: what was allowed on arrival may be forbidden now.
+std::optional<http_reply> request_path::authorize(pass &Pass) {
+  Pass.Configuration = Fleet.configuration();
+  if (!Pass.Configuration)
+    return refuse(Pass, 503, "no-configuration", NoConfigurationRetrySeconds);
+  const auto &Message = Pass.Request.Message;
+  Pass.Route = Pass.Configuration->findRoute(Pass.Host, Pass.Path);
+  if (Pass.Route == nullptr)
+    return refuse(Pass, 404, "no-route", 0);
+  Pass.Workspace = nullptr;
+  if (Pass.Configuration->isKeyRequired()) {
+    const auto Key = findHeader(Message.Headers, Fleet.options().Fields.Key);
+    Pass.Workspace = Pass.Configuration->findWorkspace(Key);
+    if (Pass.Workspace == nullptr && !Pass.Route->IsPublic)
+      return refuse(Pass, 401, "unknown-key", 0);
+  }
+  return std::nullopt;
+}
+
+std::optional<http_reply> request_path::admit(pass &Pass) {
+  const auto Now = Pass.Request.Arrival;
+  if (Pass.Workspace != nullptr) {
+    const auto Terms = Fleet.termsOf(*Pass.Workspace);
+    if (!Fleet.quota().admit(Pass.Workspace->Name, Terms, Now)) {
+      const double Seconds = Fleet.quota().secondsToAdmission(
+          Pass.Workspace->Name, Terms, Now);
+      return refuse(Pass, 429, "quota", std::min(Seconds, 1.0));
+    }
+  }
+  if (!Poison.mayRun(Pass.Fingerprint, Now))
+    return refuse(Pass, 503, "crashes-endpoints", 0);
+  return std::nullopt;
+}
+
+bool request_path::mayRetry(pass &Pass, bool IsArrival) {
+  if (Pass.Request.Cancel->isCancelled())
+    return false;
+  if (Pass.Deadline - boot_clock::now() < LeastTimeForRetry) {
+    Pass.Reason += "+no-time";
+    return false;
+  }
+  if (!IsArrival)
+    return ++Pass.Unreached < MaxUnreached;
+  if (Pass.Arrivals >= Pass.Route->MaxAttempts) {
+    Pass.Reason += "+no-attempts";
+    return false;
+  }
+  if (!Fleet.attempts().takeRetry(Pass.Service, Fleet.options().Bounds.Attempts,
+                                  Fleet.vmCount(), boot_clock::now())) {
+    Pass.Reason += "+no-budget";
+    return false;
+  }
+  return true;
+}
+
+std::shared_ptr<upstream_request>
+request_path::makeUpstreamRequest(const pass &Pass,
+                                  const fleet_endpoint &Endpoint) const {
+  const auto &Fields = Fleet.options().Fields;
+  const auto &Message = Pass.Request.Message;
+  http_headers Headers = Message.Headers;
+  removeHopByHopHeaders(Headers);
+  for (const auto &Name :
+       {Fields.Key, Fields.Workspace, Fields.ExpectedEndpoint,
+        Fields.DeadlineMs, Fields.RequestId, std::string("Expect")})
+    removeHeader(Headers, Name);
+  const auto Left = std::max<std::int64_t>(
+      1, std::chrono::duration_cast<milliseconds>(Pass.Deadline -
+                                                  boot_clock::now())
+             .count());
+  auto Request = std::make_shared<upstream_request>();
+  std::string &Head = Request->Head;
+  absl::StrAppend(&Head, Message.Method, " ", Message.Target, " HTTP/1.1\r\n");
+  for (const auto &Header : Headers)
+    absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
+  absl::StrAppend(&Head, Fields.RequestId, ": ", Pass.RequestId, "\r\n");
+  absl::StrAppend(&Head, Fields.DeadlineMs, ": ", Left, "\r\n");
+  absl::StrAppend(&Head, Fields.ExpectedEndpoint, ": ",
+                  Endpoint.Record.Id.str(), "\r\n");
+  if (Pass.Workspace != nullptr)
+    absl::StrAppend(&Head, Fields.Workspace, ": ", Pass.Workspace->Name.str(),
+                    "\r\n");
+  const bool HasBody = !Message.Body.empty() || Message.Method == "POST" ||
+                       Message.Method == "PUT" || Message.Method == "PATCH";
+  if (HasBody)
+    absl::StrAppend(&Head, "Content-Length: ", Message.Body.size(), "\r\n");
+  Head += "\r\n";
+  Request->Body = Message.Body;
+  Request->RequestId = Pass.RequestId;
+  Request->IsHead = Message.Method == "HEAD";
+  return Request;
+}
+
+awaitable<exchange_result>
+request_path::exchange(pass &Pass, const endpoint_pointer &Endpoint) {
+  const auto &Record = Endpoint->Record;
+  const auto Request = makeUpstreamRequest(Pass, *Endpoint);
+  exchange_limits Limits;
+  Limits.Connect = ConnectTimeout;
+  Limits.Deadline = Pass.Deadline + AnswerGrace;
+  Limits.BodyBytes = Pass.Configuration->limits().BodyBytes;
+  const std::string Life = absl::StrCat(Record.Id.str(), "/", Record.StartedAt);
+  ++Endpoint->InFlight;
+  auto Result = co_await Upstreams.exchange(Life, Record.Address, Request,
+                                            Limits, Pass.Request.Cancel);
+  --Endpoint->InFlight;
+  const bool IsSuspicious = Result.End == exchange_end::Lost ||
+                            Result.End == exchange_end::TimedOut ||
+                            Result.End == exchange_end::Malformed;
+  // What silenced or cut this connection is likely to have met the others.
+  if (IsSuspicious)
+    Upstreams.discard(Life);
+  co_return Result;
+}
+
+void request_path::learn(pass &Pass, fleet_endpoint &Endpoint,
+                         const exchange_result &Result) {
+  const auto Now = boot_clock::now();
+  const auto &Fields = Fleet.options().Fields;
+  switch (Result.End) {
+  case exchange_end::NotConnected:
+    Endpoint.addFailure(Now);
+    Endpoint.suspectCold(Now);
+    return;
+  case exchange_end::Lost:
+  case exchange_end::Malformed:
+    Endpoint.addAnswer(true);
+    break;
+  case exchange_end::TimedOut:
+    Endpoint.addAnswer(true);
+    break;
+  case exchange_end::Cancelled:
+    return;
+  case exchange_end::Answered: {
+    const auto Meaning = classify(Result.Reply, Fields);
+    if (Meaning == answer_meaning::Replaced) {
+      Endpoint.IsDisowned = true;
+      return;
+    }
+    if (const auto Load =
+            parseLoad(findHeader(Result.Reply.Headers, Fields.Load))) {
+      Endpoint.Load = *Load;
+      Endpoint.LoadAt = Now;
+    }
+    if (Meaning != answer_meaning::NotRun)
+      Endpoint.addAnswer(isFaultStatus(Result.Reply.Status));
+    if (Meaning == answer_meaning::Final)
+      Poison.addAnswer(Pass.Fingerprint, Now);
+    break;
+  }
+  }
+  if (auto Found = Fleet.rollouts().find(Pass.Service);
+      Found != Fleet.rollouts().end() && !Endpoint.isCold(Now)) {
+    const bool IsAnswer = Result.End == exchange_end::Answered;
+    if (!IsAnswer ||
+        classify(Result.Reply, Fields) != answer_meaning::NotRun)
+      Found->second.observe(Pass.Route->Name, Pass.Version.IsNew,
+                            !IsAnswer || isFaultStatus(Result.Reply.Status));
+  }
+}
+
+http_reply request_path::finalReply(const pass &Pass) const {
+  if (Pass.LastEnd == exchange_end::TimedOut)
+    return makeJsonReply(504, "{\"error\":\"deadline\"}\n");
+  return makeJsonReply(502, "{\"error\":\"outcome-unknown\"}\n");
+}
+
+awaitable<http_reply> request_path::send(pass &Pass) {
+  const auto &Fields = Fleet.options().Fields;
+  for (;;) {
+    const auto Now = boot_clock::now();
+    if (auto Refusal = authorize(Pass)) {
+      // Once it may have run, no answer may say that it has not.
+      if (Pass.MayHaveRun)
+        co_return finalReply(Pass);
+      Pass.Reason = "not-allowed";
+      co_return std::move(*Refusal);
+    }
+    const auto &Services = Pass.Route->Services;
+    const bool IsServiceCurrent = std::any_of(
+        Services.begin(), Services.end(),
+        [&](const weighted_service &Part) { return Part.Service == Pass.Service; });
+    if (!IsServiceCurrent) {
+      Pass.Service = Pass.Route->serviceFor(Fleet.draw());
+      Pass.Version = Fleet.drawVersion(Pass.Service);
+    }
+    placement_request Wanted;
+    Wanted.ObjectHash = Pass.ObjectHash;
+    Wanted.CallerRegion = Fleet.options().Vm.Region;
+    Wanted.RouteHomes = Pass.Route->HomeRegions;
+    if (Pass.Workspace != nullptr)
+      Wanted.WorkspaceHomes = Pass.Workspace->HomeRegions;
+    Wanted.Excluded = Pass.Tried;
+    Wanted.Version = Pass.Version;
+    const auto Placed = Fleet.place(Pass.Service, Wanted, Now);
+    if (!Placed.Endpoint || Pass.Request.Cancel->isCancelled()) {
+      absl::StrAppend(&Pass.Reason, "+no-endpoint");
+      co_return Pass.MayHaveRun
+          ? finalReply(Pass)
+          : refuse(Pass, 503, "no-endpoint", ShortRetrySeconds);
+    }
+    Pass.Endpoint = Placed.Endpoint->Record.Id.str();
+    const auto Result = co_await exchange(Pass, Placed.Endpoint);
+    Pass.LastEnd = Result.End;
+    learn(Pass, *Placed.Endpoint, Result);
+    Pass.Tried.push_back(Placed.Endpoint);
+    if (Result.End == exchange_end::Cancelled)
+      co_return finalReply(Pass);
+    if (Result.End == exchange_end::NotConnected) {
+      Pass.Reason = "not-connected";
+      if (mayRetry(Pass, false))
+        continue;
+      co_return Pass.MayHaveRun
+          ? finalReply(Pass)
+          : refuse(Pass, 503, "not-connected", ShortRetrySeconds);
+    }
+    ++Pass.Arrivals;
+    if (Result.End == exchange_end::Answered) {
+      const auto Meaning = classify(Result.Reply, Fields);
+      const bool IsNotRun = Meaning == answer_meaning::NotRun ||
+                            Meaning == answer_meaning::Replaced;
+      const bool IsFault = isFaultStatus(Result.Reply.Status);
+      const bool MayRepeat = Pass.Route->Kind == request_kind::Idempotent;
+      if (Meaning == answer_meaning::Final) {
+        Pass.MayHaveRun = true;
+        Pass.Reason = "answered";
+        if (IsFault && MayRepeat && mayRetry(Pass, true))
+          continue;
+        co_return Result.Reply;
+      }
+      Pass.Reason = IsNotRun ? "not-run" : "unproved";
+      Pass.MayHaveRun = Pass.MayHaveRun || !IsNotRun;
+      if ((IsNotRun || MayRepeat) && mayRetry(Pass, true))
+        continue;
+      co_return Pass.MayHaveRun
+          ? finalReply(Pass)
+          : refuse(Pass, 503, "endpoint-full", ShortRetrySeconds);
+    }
+    Pass.MayHaveRun = true;
+    Pass.Reason = Result.End == exchange_end::TimedOut ? "timed-out" : "lost";
+    if (Pass.Route->Kind == request_kind::Idempotent && mayRetry(Pass, true))
+      continue;
+    co_return finalReply(Pass);
+  }
+}
+
+awaitable<http_reply> request_path::run(ingress_request Request) {
+  pass Pass;
+  Pass.Request = std::move(Request);
+  const auto &Fields = Fleet.options().Fields;
+  const auto &Message = Pass.Request.Message;
+  Pass.RequestId = findHeader(Message.Headers, Fields.RequestId);
+  Pass.Host = findHeader(Message.Headers, "Host");
+  Pass.Path = targetPath(Message.Target);
+  if (Pass.RequestId.empty())
+    co_return refuse(Pass, 400, "no-request-id", 0);
+  http_reply Reply;
+  if (auto Refusal = authorize(Pass)) {
+    Reply = std::move(*Refusal);
+    Pass.Reason = "refused";
+  } else {
+    auto Time = Pass.Route->Timeout;
+    std::int64_t Asked = 0;
+    if (absl::SimpleAtoi(
+            toAbsl(findHeader(Message.Headers, Fields.DeadlineMs)), &Asked) &&
+        Asked > 0)
+      Time = std::min(Time, milliseconds(Asked));
+    Pass.Deadline = Pass.Request.Arrival + Time;
+    Pass.Service = Pass.Route->serviceFor(Fleet.draw());
+    const auto Object = findHeader(Message.Headers, Fields.Object);
+    Pass.ObjectHash = Object.empty()
+                          ? stableHash(Pass.RequestId)
+                          : stableHash(absl::StrCat(Pass.Service.str(), "/",
+                                                    toAbsl(Object)));
+    Pass.Fingerprint = std::to_string(stableHash(absl::StrCat(
+        Pass.Workspace != nullptr ? Pass.Workspace->Name.str() : "", " ",
+        Message.Method, " ", Message.Target, " ", Message.Body)));
+    if (auto Refusal = admit(Pass)) {
+      Reply = std::move(*Refusal);
+      Pass.Reason = "refused";
+    } else {
+      Fleet.attempts().addRequest(Pass.Service, Pass.Request.Arrival);
+      Pass.Version = Fleet.drawVersion(Pass.Service);
+      ++InFlight;
+      Reply = co_await send(Pass);
+      --InFlight;
+    }
+  }
+  const auto Took = boot_clock::now() - Pass.Request.Arrival;
+  const std::string Route = Pass.Route != nullptr ? Pass.Route->Name.str() : "";
+  Metrics.add(Pass.Workspace != nullptr ? Pass.Workspace->Name
+                                        : workspace_name("none"),
+              absl::StrCat(Route, "/", Reply.Status), Took);
+  Log.write(absl::StrCat(
+                "request id=", Pass.RequestId, " status=", Reply.Status,
+                " reason=", Pass.Reason, " route=", Route, " version=",
+                Pass.Configuration ? Pass.Configuration->version() : 0,
+                " service=", Pass.Service.str(), " endpoint=", Pass.Endpoint,
+                " attempts=", Pass.Arrivals, " unreached=", Pass.Unreached,
+                " ms=", toMilliseconds(Took), " object=",
+                toAbsl(findHeader(Message.Headers, Fields.Object))),
+            boot_clock::now());
+  co_return Reply;
+}
+
+} // namespace sesamepaddle
--- /dev/null
+++ b/src/ingress/request_path.h
@@ -0,0 +1,71 @@
+#ifndef SESAMEPADDLE_SRC_INGRESS_REQUEST_PATH_H
+#define SESAMEPADDLE_SRC_INGRESS_REQUEST_PATH_H
+
+#include "ingress/decision_log.h"
+#include "ingress/upstream_pool.h"
+#include "sesamepaddle/ingress/fleet_state.h"
+#include "sesamepaddle/net/http_message.h"
+#include "sesamepaddle/telemetry/metrics.h"
+#include "sesamepaddle/upstreams/poison_registry.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace sesamepaddle {
+
+/** One request of a caller. */
+struct ingress_request {
+  http_request Message;
+  time_point Arrival;
+  std::shared_ptr<cancel_source> Cancel; ///< when its caller has left
+};
+
+/** Takes a request from its arrival to its answer: admits it, chooses the
+    endpoints that it is sent to, and decides what a failure means.
+
+    Configuration, keys, evacuation and versions are read anew before each
+    sending, so that a request that waited is not sent by older rules.
+*/
+class request_path {
+public:
+  request_path(fleet_state &Fleet, upstream_pool &Upstreams, metrics &Metrics,
+               decision_log &Log);
+
+  /** @returns the answer for the caller. */
+  awaitable<http_reply> run(ingress_request Request);
+
+  std::size_t inFlight() const { return InFlight; }
+  poison_registry &poison() { return Poison; }
+
+  /** Called with a crash that the other VMs should hear of. */
+  std::function<void(const crash_evidence &)> OnCrash;
+
+private:
+  struct pass;
+
+  std::optional<http_reply> authorize(pass &Pass);
+  std::optional<http_reply> admit(pass &Pass);
+  awaitable<http_reply> send(pass &Pass);
+  awaitable<exchange_result> exchange(pass &Pass,
+                                      const endpoint_pointer &Endpoint);
+  std::shared_ptr<upstream_request> makeUpstreamRequest(
+      const pass &Pass, const fleet_endpoint &Endpoint) const;
+  bool mayRetry(pass &Pass, bool IsArrival);
+  void learn(pass &Pass, fleet_endpoint &Endpoint,
+             const exchange_result &Result);
+  http_reply finalReply(const pass &Pass) const;
+  http_reply refuse(const pass &Pass, unsigned Status, std::string_view Reason,
+                    double RetryAfterSeconds);
+
+  fleet_state &Fleet;
+  upstream_pool &Upstreams;
+  metrics &Metrics;
+  decision_log &Log;
+  poison_registry Poison;
+  std::size_t InFlight = 0;
+};
+
+} // namespace sesamepaddle
+
+#endif
--- /dev/null
+++ b/src/ingress/upstream_pool.cpp
@@ -0,0 +1,273 @@
+#include "ingress/upstream_pool.h"
+
+#include "sesamepaddle/core/text.h"
+#include "sesamepaddle/net/http_server.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace sesamepaddle {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// Idle time after which a connection is not used again when its endpoint did
+// not say how long it keeps one.
+constexpr std::chrono::milliseconds UsualIdleTime{6'000};
+// Kept before what an endpoint says, for the way of a request.
+constexpr std::chrono::milliseconds IdleMargin{1'500};
+constexpr std::size_t MaxIdlePerEndpoint = 16;
+// Answers to other requests that are dropped before the connection is given up.
+constexpr int MaxForeignAnswers = 3;
+
+/** @returns the seconds that a Keep-Alive field promises, or 0. */
+int keepAliveSeconds(std::string_view Field) {
+  constexpr std::string_view Name = "timeout=";
+  const auto Start = Field.find(Name);
+  if (Start == std::string_view::npos)
+    return 0;
+  const auto Value = Field.substr(Start + Name.size());
+  int Seconds = 0;
+  const auto Digits = Value.substr(0, Value.find_first_not_of("0123456789"));
+  return absl::SimpleAtoi(toAbsl(Digits), &Seconds) ? Seconds : 0;
+}
+
+http_reply fromBeast(http::response<http::string_body> &&Message) {
+  http_reply Reply;
+  Reply.Status = Message.result_int();
+  for (const auto &Field : Message)
+    Reply.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Reply.Body = std::move(Message.body());
+  return Reply;
+}
+
+} // namespace
+
+struct upstream_pool::connection {
+  explicit connection(const asio::any_io_executor &Executor)
+      : Socket(Executor) {}
+
+  /** @returns true when the other end neither closed nor sent anything. */
+  bool isQuiet() {
+    char Byte = 0;
+    const auto Count = ::recv(Socket.native_handle(), &Byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+    return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void close() {
+    boost::system::error_code Ignored;
+    Socket.close(Ignored);
+  }
+
+  tcp::socket Socket;
+  boost::beast::flat_buffer Buffer;
+  time_point UsableUntil{};
+  bool IsWriting = false;
+  bool IsReusable = false;
+};
+
+upstream_pool::upstream_pool(std::string Field)
+    : RequestIdField(std::move(Field)) {}
+
+upstream_pool::connection_pointer
+upstream_pool::take(const std::string &Endpoint, time_point Now) {
+  const auto Found = Idle.find(Endpoint);
+  if (Found == Idle.end())
+    return nullptr;
+  auto &Connections = Found->second;
+  while (!Connections.empty()) {
+    auto Connection = std::move(Connections.back());
+    Connections.pop_back();
+    if (Now < Connection->UsableUntil && Connection->isQuiet())
+      return Connection;
+  }
+  return nullptr;
+}
+
+awaitable<upstream_pool::connection_pointer>
+upstream_pool::open(const std::string &Address,
+                    std::chrono::milliseconds Timeout,
+                    std::shared_ptr<cancel_source> Cancel) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint.ok())
+    co_return nullptr;
+  const auto Executor = co_await asio::this_coro::executor;
+  auto Connection = std::make_shared<connection>(Executor);
+  asio::steady_timer Timer(Executor, Timeout);
+  Timer.async_wait([Connection](const boost::system::error_code &Error) {
+    if (!Error)
+      Connection->close();
+  });
+  Cancel->OnCancel = [Connection] { Connection->close(); };
+  boost::system::error_code Error;
+  co_await Connection->Socket.async_connect(
+      *Endpoint, asio::redirect_error(asio::use_awaitable, Error));
+  Cancel->OnCancel = nullptr;
+  Timer.cancel();
+  // The timer may have fired in the same turn as the connection.
+  if (Error || !Connection->Socket.is_open())
+    co_return nullptr;
+  Connection->Socket.set_option(tcp::no_delay(true), Error);
+  ++Opened;
+  co_return Connection;
+}
+
+awaitable<exchange_result>
+upstream_pool::exchange(const std::string &Endpoint, const std::string &Address,
+                        std::shared_ptr<const upstream_request> Request,
+                        exchange_limits Limits,
+                        std::shared_ptr<cancel_source> Cancel) {
+  exchange_result Result;
+  const auto Now = boot_clock::now();
+  auto Connection = take(Endpoint, Now);
+  Result.IsReused = Connection != nullptr;
+  if (!Connection) {
+    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Limits.Deadline - Now);
+    Connection =
+        co_await open(Address, std::min(Limits.Connect, Left), Cancel);
+  }
+  if (Cancel->isCancelled()) {
+    Result.End = exchange_end::Cancelled;
+    co_return Result;
+  }
+  if (!Connection)
+    co_return Result;
+
+  bool IsTimedOut = false;
+  const auto Executor = co_await asio::this_coro::executor;
+  asio::steady_timer Timer(Executor,
+                           std::chrono::duration_cast<std::chrono::nanoseconds>(
+                               Limits.Deadline - boot_clock::now()));
+  Timer.async_wait(
+      [Connection, &IsTimedOut](const boost::system::error_code &Error) {
+        if (Error)
+          return;
+        IsTimedOut = true;
+        Connection->close();
+      });
+  Cancel->OnCancel = [Connection] { Connection->close(); };
+
+  // The request is kept by the handler, as an early answer may end the exchange
+  // while the rest of the body is still under way.
+  Connection->IsWriting = true;
+  const std::array<asio::const_buffer, 2> Buffers = {
+      asio::buffer(Request->Head),
+      asio::buffer(Request->Body.data(), Request->Body.size())};
+  asio::async_write(Connection->Socket, Buffers,
+                    [Connection, Request](const boost::system::error_code &,
+                                          std::size_t) {
+                      Connection->IsWriting = false;
+                    });
+  const bool IsReused = Result.IsReused;
+  Result = co_await readAnswer(Connection, Request, Limits.BodyBytes);
+  Result.IsReused = IsReused;
+  Cancel->OnCancel = nullptr;
+  // A handler that is queued already must not see the flag of this frame.
+  const bool MayFireStill = Timer.cancel() == 0;
+  if (MayFireStill)
+    co_await asio::post(asio::use_awaitable);
+  if (Cancel->isCancelled() && Result.End != exchange_end::Answered)
+    Result.End = exchange_end::Cancelled;
+  else if (IsTimedOut && Result.End != exchange_end::Answered)
+    Result.End = exchange_end::TimedOut;
+
+  const bool IsKept = Result.End == exchange_end::Answered &&
+                      Connection->IsReusable && !Connection->IsWriting &&
+                      Connection->Socket.is_open();
+  auto &Connections = Idle[Endpoint];
+  if (IsKept && Connections.size() < MaxIdlePerEndpoint)
+    Connections.push_back(std::move(Connection));
+  else
+    Connection->close();
+  co_return Result;
+}
+
+awaitable<exchange_result>
+upstream_pool::readAnswer(connection_pointer Connection,
+                          std::shared_ptr<const upstream_request> Request,
+                          std::size_t BodyBytes) {
+  exchange_result Result;
+  bool WasForeign = false;
+  for (int Turn = 0; Turn <= MaxForeignAnswers; ++Turn) {
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(BodyBytes);
+    Parser.skip(Request->IsHead);
+    boost::system::error_code Error;
+    co_await http::async_read(Connection->Socket, Connection->Buffer, Parser,
+                              asio::redirect_error(asio::use_awaitable, Error));
+    if (Error) {
+      const bool IsGarbage =
+          Error.category() ==
+              http::make_error_code(http::error::bad_version).category() &&
+          Error != http::error::end_of_stream &&
+          Error != http::error::partial_message;
+      Result.End = IsGarbage ? exchange_end::Malformed : exchange_end::Lost;
+      Result.Detail = Error.message();
+      co_return Result;
+    }
+    const auto &Message = Parser.get();
+    const auto Field = Message.find(RequestIdField);
+    const bool HasId = Field != Message.end();
+    const bool IsInterim = Message.result_int() < 200;
+    const bool IsForeign =
+        HasId && Field->value() != boost::beast::string_view(
+                                       Request->RequestId.data(),
+                                       Request->RequestId.size());
+    if (IsForeign || IsInterim) {
+      WasForeign = WasForeign || IsForeign;
+      if (!Parser.keep_alive())
+        break;
+      continue;
+    }
+    const bool HasLength = Request->IsHead || Parser.chunked() ||
+                           Parser.content_length().has_value();
+    Connection->IsReusable = Parser.keep_alive() && HasLength && HasId &&
+                             !WasForeign && Connection->Buffer.size() == 0;
+    if (Connection->IsReusable) {
+      const auto Promise = Message[http::field::keep_alive];
+      const int Seconds = keepAliveSeconds({Promise.data(), Promise.size()});
+      const auto IdleTime =
+          Seconds > 0 ? std::chrono::milliseconds(Seconds * 1000) - IdleMargin
+                      : UsualIdleTime;
+      Connection->UsableUntil = boot_clock::now() + IdleTime;
+    }
+    Result.End = exchange_end::Answered;
+    Result.Reply = fromBeast(Parser.release());
+    co_return Result;
+  }
+  Result.End = exchange_end::Malformed;
+  Result.Detail = "answers to other requests only";
+  co_return Result;
+}
+
+void upstream_pool::sweep(time_point Now) {
+  for (auto Entry = Idle.begin(); Entry != Idle.end();) {
+    std::erase_if(Entry->second, [Now](const connection_pointer &Connection) {
+      return Now >= Connection->UsableUntil;
+    });
+    Entry = Entry->second.empty() ? Idle.erase(Entry) : std::next(Entry);
+  }
+}
+
+void upstream_pool::discard(const std::string &Endpoint) {
+  Idle.erase(Endpoint);
+}
+
+std::size_t upstream_pool::idleConnections() const {
+  std::size_t Count = 0;
+  for (const auto &[Endpoint, Connections] : Idle)
+    Count += Connections.size();
+  return Count;
+}
+
+} // namespace sesamepaddle
--- /dev/null
+++ b/src/ingress/vm_gossip.cpp
@@ -0,0 +1,237 @@
+#include "ingress/vm_gossip.h"
+
+#include "sesamepaddle/net/failures.h"
+#include "sesamepaddle/net/http_server.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace sesamepaddle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Between two messages to the same VM while there are few; evidence and demand
+// are at most this old, and a VM is found silent after five missing ones.
+constexpr milliseconds ShortInterval{500};
+// Datagrams that a VM sends in a second at most, for 2 KB/s of control.
+constexpr double MaxDatagramsPerSecond = 20;
+// A VM that has been silent this long is tried less often.
+constexpr std::chrono::seconds SilenceUntilRare{8};
+constexpr int RareTurns = 8;
+constexpr std::size_t MaxCrashes = 16;
+
+std::optional<asio::ip::udp::endpoint> parseUdp(const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint.ok())
+    return std::nullopt;
+  return asio::ip::udp::endpoint(Endpoint->address(), Endpoint->port());
+}
+
+rollout_report toReport(const gossip_rollout &Rollout) {
+  rollout_report Report;
+  Report.IsFaulty = Rollout.IsFaulty;
+  if (Rollout.IsCompleted)
+    Report.Recorded = rollout_outcome::Completed;
+  else if (Rollout.IsRolledBack)
+    Report.Recorded = rollout_outcome::RolledBack;
+  for (const auto &Counts : Rollout.Counts)
+    Report.CountsByRoute[Counts.Route] = {Counts.NewGood, Counts.NewBad,
+                                          Counts.OldGood, Counts.OldBad};
+  return Report;
+}
+
+gossip_rollout toGossip(const fleet_rollout &Rollout) {
+  const auto Report = Rollout.report();
+  gossip_rollout Message;
+  Message.Service = Rollout.order().Service.str();
+  Message.To = Rollout.order().To.str();
+  Message.IsFaulty = Report.IsFaulty;
+  Message.IsCompleted = Report.Recorded == rollout_outcome::Completed;
+  Message.IsRolledBack = Report.Recorded == rollout_outcome::RolledBack;
+  for (const auto &[Route, Counts] : Report.CountsByRoute)
+    Message.Counts.push_back({Route, Counts.NewGood, Counts.NewBad,
+                              Counts.OldGood, Counts.OldBad});
+  return Message;
+}
+
+} // namespace
+
+vm_gossip::vm_gossip(asio::io_context &Context, fleet_state &Fleet,
+                     request_path &Path)
+    : Fleet(Fleet), Path(Path), Socket(Context), Timer(Context) {}
+
+absl::Status vm_gossip::start() {
+  const auto &Address = Fleet.options().Vm.GossipAddress;
+  const auto Endpoint = parseUdp(Address);
+  boost::system::error_code Error;
+  if (!Endpoint)
+    return makeFailure(net_failure::ListenFailed, Address);
+  Socket.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Socket.bind(*Endpoint, Error);
+  if (Error)
+    return makeFailure(net_failure::ListenFailed,
+                       absl::StrCat(Address, ": ", Error.message()));
+  const auto Self = shared_from_this();
+  Path.OnCrash = [Weak = weak_from_this()](const crash_evidence &Crash) {
+    if (const auto Gossip = Weak.lock();
+        Gossip && Gossip->Crashes.size() < MaxCrashes) {
+      Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
+      Gossip->sendNow();
+    }
+  };
+  asio::co_spawn(Socket.get_executor(), receiveLoop(),
+                 [Self](const std::exception_ptr &) {});
+  asio::co_spawn(Socket.get_executor(), sendLoop(),
+                 [Self](const std::exception_ptr &) {});
+  return absl::OkStatus();
+}
+
+void vm_gossip::stop() {
+  IsStopped = true;
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+  Timer.cancel();
+}
+
+void vm_gossip::sendNow() { sendAll(boot_clock::now()); }
+
+milliseconds vm_gossip::interval() const {
+  const auto Spread = milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(Fleet.vms().size()) * 1000 / MaxDatagramsPerSecond));
+  return std::max(ShortInterval, Spread);
+}
+
+awaitable<void> vm_gossip::receiveLoop() {
+  while (!IsStopped) {
+    boost::system::error_code Error;
+    asio::ip::udp::endpoint Sender;
+    const std::size_t Bytes = co_await Socket.async_receive_from(
+        asio::buffer(Datagram), Sender,
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (Error == asio::error::operation_aborted ||
+        Error == asio::error::bad_descriptor)
+      co_return;
+    if (Error)
+      continue;
+    if (const auto Message = decodeGossip({Datagram.data(), Bytes}))
+      take(*Message, boot_clock::now());
+    else
+      Log.warn("datagram dropped reason=malformed bytes=" +
+               std::to_string(Bytes));
+  }
+}
+
+awaitable<void> vm_gossip::sendLoop() {
+  while (!IsStopped) {
+    sendAll(boot_clock::now());
+    boost::system::error_code Error;
+    Timer.expires_after(interval());
+    co_await Timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Error));
+  }
+}
+
+gossip_message vm_gossip::makeMessage(time_point Now) {
+  const auto &Vm = Fleet.options().Vm;
+  gossip_message Message;
+  Message.Name = Vm.Name.str();
+  Message.Incarnation = static_cast<std::uint64_t>(Vm.Incarnation);
+  Message.Region = Vm.Region.str();
+  Message.FailureDomain = Vm.FailureDomain.str();
+  Message.CallerAddress = Vm.CallerAddress;
+  Message.GossipAddress = Vm.GossipAddress;
+  Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
+  const bool IsAnyoneHeard = std::any_of(
+      Fleet.vms().begin(), Fleet.vms().end(), [&](const auto &Entry) {
+        return Now - Entry.second.LastHeard < 3 * ShortInterval;
+      });
+  for (const auto &[Workspace, Rate] :
+       Fleet.quota().publish(Now, IsAnyoneHeard))
+    Message.Demand[Workspace] = static_cast<float>(Rate);
+  for (const auto &[Service, Rollout] : Fleet.rollouts())
+    Message.Rollouts.push_back(toGossip(Rollout));
+  Message.Crashes = Crashes;
+  return Message;
+}
+
+void vm_gossip::sendAll(time_point Now) {
+  static thread_local int Turn = 0;
+  ++Turn;
+  auto Message = makeMessage(Now);
+  const auto Usual = encodeGossip(Message);
+  Message.WantsVms = true;
+  const auto Asking = encodeGossip(Message);
+  for (const auto &[Name, Vm] : Fleet.vms()) {
+    const bool IsNeverHeard = Vm.LastHeard == time_point{};
+    const bool IsRare = Now - Vm.LastHeard > SilenceUntilRare;
+    if (IsRare && !IsNeverHeard && Turn % RareTurns != 0)
+      continue;
+    sendTo(Vm.GossipAddress, IsNeverHeard ? Asking : Usual);
+  }
+  if (Fleet.vms().empty())
+    for (const auto &Address : Fleet.options().Vm.SeedGossipAddresses)
+      if (Address != Fleet.options().Vm.GossipAddress)
+        sendTo(Address, Asking);
+}
+
+void vm_gossip::sendTo(const std::string &Address,
+                       const std::string &Datagram) {
+  const auto Endpoint = parseUdp(Address);
+  boost::system::error_code Error;
+  if (Endpoint && Socket.is_open())
+    Socket.send_to(asio::buffer(Datagram), *Endpoint, 0, Error);
+  if (Error && Error != asio::error::would_block)
+    Log.debug("datagram not sent to=" + Address + " error=" + Error.message());
+}
+
+void vm_gossip::take(const gossip_message &Message, time_point Now) {
+  if (Message.Name == Fleet.options().Vm.Name.str())
+    return;
+  const auto Before = Fleet.vms().find(vm_name(Message.Name));
+  const bool IsNew =
+      Before == Fleet.vms().end() ||
+      static_cast<std::uint64_t>(Before->second.Incarnation) !=
+          Message.Incarnation;
+  if (IsNew || Before->second.IsReady != Message.IsReady)
+    Log.info(absl::StrCat("vm name=", Message.Name,
+                          " incarnation=", Message.Incarnation,
+                          " ready=", Message.IsReady));
+  known_vm Vm;
+  Vm.Name = vm_name(Message.Name);
+  Vm.Incarnation = static_cast<incarnation>(Message.Incarnation);
+  Vm.Region = region_name(Message.Region);
+  Vm.FailureDomain = failure_domain_name(Message.FailureDomain);
+  Vm.CallerAddress = Message.CallerAddress;
+  Vm.GossipAddress = Message.GossipAddress;
+  Vm.IsReady = Message.IsReady;
+  Vm.LastHeard = Now;
+  Fleet.applyVm(Vm);
+  workspace_demand Demand(Message.Demand.begin(), Message.Demand.end());
+  Fleet.quota().applyPeer(Message.Name, std::move(Demand));
+  for (const auto &Rollout : Message.Rollouts) {
+    const auto Found = Fleet.rollouts().find(service_name(Rollout.Service));
+    if (Found != Fleet.rollouts().end() &&
+        Found->second.order().To.str() == Rollout.To)
+      Found->second.applyPeer(Message.Name, toReport(Rollout));
+  }
+  for (const auto &Crash : Message.Crashes)
+    Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
+  for (const auto &Known : Message.Vms) {
+    known_vm Learned;
+    Learned.Name = vm_name(Known.Name);
+    Learned.GossipAddress = Known.Address;
+    Fleet.learnVm(std::move(Learned));
+  }
+  if (!Message.WantsVms)
+    return;
+  auto Reply = makeMessage(Now);
+  for (const auto &[Name, Known] : Fleet.vms())
+    Reply.Vms.push_back({Name.str(), Known.GossipAddress});
+  sendTo(Message.GossipAddress, encodeGossip(Reply));
+}
+
+} // namespace sesamepaddle
--- /dev/null
+++ b/src/ingress/vm_gossip.h
@@ -0,0 +1,55 @@
+#ifndef SESAMEPADDLE_SRC_INGRESS_VM_GOSSIP_H
+#define SESAMEPADDLE_SRC_INGRESS_VM_GOSSIP_H
+
+#include "absl/status/status.h"
+#include "ingress/gossip_message.h"
+#include "ingress/request_path.h"
+#include "sesamepaddle/ingress/fleet_state.h"
+#include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/telemetry/log.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+namespace sesamepaddle {
+
+/** Tells all VMs what this one sees, at an interval, and takes in what they
+    tell. Datagrams, as each message stands for itself: a lost one is made good
+    by the next, and no connection can go silent. */
+class vm_gossip : public std::enable_shared_from_this<vm_gossip> {
+public:
+  vm_gossip(asio::io_context &Context, fleet_state &Fleet, request_path &Path);
+
+  /** @returns ok, or net_failure::ListenFailed */
+  absl::Status start();
+
+  /** Tells all VMs at once, as after a change of readiness. */
+  void sendNow();
+
+  void stop();
+
+private:
+  awaitable<void> receiveLoop();
+  awaitable<void> sendLoop();
+  void sendAll(time_point Now);
+  void sendTo(const std::string &Address, const std::string &Datagram);
+  void take(const gossip_message &Message, time_point Now);
+  gossip_message makeMessage(time_point Now);
+  std::chrono::milliseconds interval() const;
+
+  fleet_state &Fleet;
+  request_path &Path;
+  asio::ip::udp::socket Socket;
+  asio::steady_timer Timer;
+  std::vector<gossip_crash> Crashes;
+  std::array<char, 65'536> Datagram{};
+  part_log Log{"gossip"};
+  bool IsStopped = false;
+};
+
+} // namespace sesamepaddle
+
+#endif
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -11,9 +11,15 @@
 } // namespace
 
 struct worker_pool::worker {
-  asio::io_context Context{1};
-  asio::executor_work_guard<asio::io_context::executor_type> Guard{
-      Context.get_executor()};
+  explicit worker(asio::io_context *Given = nullptr)
+      : Owned(Given == nullptr ? std::make_unique<asio::io_context>(1)
+                               : nullptr),
+        Context(Given == nullptr ? *Owned : *Given),
+        Guard(Context.get_executor()) {}
+
+  std::unique_ptr<asio::io_context> Owned;
+  asio::io_context &Context;
+  asio::executor_work_guard<asio::io_context::executor_type> Guard;
   std::thread Thread;
 };
 
@@ -29,6 +35,10 @@
   }
 }
 
+worker_pool::worker_pool(asio::io_context &Context) {
+  Workers.push_back(std::make_unique<worker>(&Context));
+}
+
 worker_pool::~worker_pool() { stop(); }
 
 void worker_pool::stop() {
--- /dev/null
+++ b/src/placing/placement.cpp
@@ -0,0 +1,140 @@
+#include "sesamepaddle/placing/placement.h"
+
+#include "sesamepaddle/routing/fleet_configuration.h"
+#include "sesamepaddle/steering/rendezvous.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sesamepaddle {
+
+namespace {
+
+// VMs that send to the same cold endpoint: one request of each may fall into
+// the same second, which stays below the tolerated rate with its slack.
+constexpr std::size_t MaxColdSenders = 6;
+
+struct candidate {
+  endpoint_pointer Endpoint;
+  double Score = 0;
+};
+
+bool isUsable(const fleet_endpoint &Endpoint, const placement_request &Request,
+              const placement_limits &Limits) {
+  const auto &Record = Endpoint.Record;
+  if (Record.IsLeaving || Endpoint.IsDisowned || Endpoint.IsLeavingSeen)
+    return false;
+  const auto &Version = Request.Version;
+  if (!Version.Only.empty() && Record.Version != Version.Only)
+    return false;
+  if (!Version.Not.empty() && Record.Version == Version.Not)
+    return false;
+  if (Limits.EvacuatedDomains.contains(Record.FailureDomain))
+    return false;
+  return isRegionAllowed(Record.Region, Request.RouteHomes,
+                         Request.WorkspaceHomes);
+}
+
+bool isExcluded(const endpoint_pointer &Endpoint,
+                const placement_request &Request) {
+  return std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                   Endpoint) != Request.Excluded.end();
+}
+
+/** @returns true when this VM is one of those that send to the endpoint while
+    it is cold, and its next request is due. */
+bool isColdSendDue(const fleet_endpoint &Endpoint,
+                   const placement_limits &Limits, time_point Now) {
+  if (Limits.ColdRequestsPerSecond <= 0)
+    return true;
+  const std::size_t Vms = std::max<std::size_t>(Limits.Vms, 1);
+  const std::size_t Turn = (Limits.VmRank + Endpoint.Hash % Vms) % Vms;
+  return Turn < MaxColdSenders && Now >= Endpoint.NextColdSend;
+}
+
+void countColdSend(fleet_endpoint &Endpoint, const placement_limits &Limits,
+                   time_point Now) {
+  if (Limits.ColdRequestsPerSecond <= 0)
+    return;
+  const auto Senders = std::min(std::max<std::size_t>(Limits.Vms, 1),
+                                MaxColdSenders);
+  const double Seconds =
+      static_cast<double>(Senders) / Limits.ColdRequestsPerSecond;
+  // Never more than one request a second from each sender: the bound counts
+  // any second, and all senders may fall into the same one.
+  Endpoint.NextColdSend =
+      Now + std::chrono::microseconds(
+                static_cast<std::int64_t>(std::max(Seconds, 1.0) * 1e6));
+}
+
+bool isHealthy(const fleet_endpoint &Endpoint, const placement_options &Options,
+               time_point Now) {
+  return !Endpoint.isAvoided(Now) && Endpoint.FailureRate < Options.FaultyAt;
+}
+
+double loadOf(const fleet_endpoint &Endpoint, time_point Now) {
+  return static_cast<double>(Endpoint.knownLoad(Now)) /
+         std::max(1U, Endpoint.Record.Slots);
+}
+
+std::vector<candidate> orderCandidates(
+    std::span<const endpoint_pointer> Endpoints,
+    const placement_request &Request, const placement_limits &Limits,
+    const placement_options &Options) {
+  std::vector<candidate> Order;
+  Order.reserve(Endpoints.size());
+  for (const auto &Endpoint : Endpoints) {
+    if (!isUsable(*Endpoint, Request, Limits) || isExcluded(Endpoint, Request))
+      continue;
+    const bool IsNear = Endpoint->Record.Region == Request.CallerRegion;
+    const double Weight = std::max(1U, Endpoint->Record.Slots) *
+                          (IsNear ? 1.0 : Options.RemoteWeight);
+    Order.push_back({Endpoint, rendezvousScore(Request.ObjectHash,
+                                               Endpoint->Hash, Weight)});
+  }
+  std::sort(Order.begin(), Order.end(),
+            [](const candidate &Left, const candidate &Right) {
+              return Left.Score > Right.Score;
+            });
+  return Order;
+}
+
+} // namespace
+
+placed_endpoint placeRequest(std::span<const endpoint_pointer> Endpoints,
+                             const placement_request &Request,
+                             const placement_limits &Limits,
+                             const placement_options &Options, time_point Now) {
+  const auto Order = orderCandidates(Endpoints, Request, Limits, Options);
+  if (Order.empty())
+    return {placement_result::NoEndpoint, nullptr};
+  endpoint_pointer LeastLoaded;
+  double LeastLoad = std::numeric_limits<double>::max();
+  std::size_t Asked = 0;
+  for (const bool WantsHealthy : {true, false}) {
+    for (const auto &[Endpoint, Score] : Order) {
+      if (isHealthy(*Endpoint, Options, Now) != WantsHealthy)
+        continue;
+      if (Endpoint->isCold(Now)) {
+        if (!isColdSendDue(*Endpoint, Limits, Now))
+          continue;
+        countColdSend(*Endpoint, Limits, Now);
+        return {placement_result::Placed, Endpoint};
+      }
+      const double Load = loadOf(*Endpoint, Now);
+      if (Load < Options.FullAt)
+        return {placement_result::Placed, Endpoint};
+      if (Load < LeastLoad) {
+        LeastLoad = Load;
+        LeastLoaded = Endpoint;
+      }
+      if (++Asked >= Options.Choices)
+        return {placement_result::Placed, LeastLoaded};
+    }
+    if (LeastLoaded)
+      return {placement_result::Placed, LeastLoaded};
+  }
+  return {placement_result::AllFull, nullptr};
+}
+
+} // namespace sesamepaddle
