--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -39,6 +39,7 @@
   std::string ReadinessAddress;
   std::string DirectoryAddress;
   std::string MetricsAddress; ///< empty: none
+  std::string PeerHttpAddress; ///< for what does not fit into a datagram
   std::string GossipAddress;  ///< UDP
   std::vector<std::string> SeedGossipAddresses;
 };
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -47,10 +47,13 @@
       return Status;
     if (const auto Status = Gossip->start(); !Status.ok())
       return Status;
-    for (const auto &Address : {Vm.ReadinessAddress, Vm.DirectoryAddress,
-                                Vm.MetricsAddress})
+    for (const auto &Address :
+         {Vm.ReadinessAddress, Vm.DirectoryAddress, Vm.PeerHttpAddress})
       if (const auto Status = serveHttp(Address); !Status.ok())
         return Status;
+    // Without metrics callers are served as well.
+    if (const auto Status = serveHttp(Vm.MetricsAddress); !Status.ok())
+      Log.warn("no metrics: " + Status.ToString());
     const auto Self = shared_from_this();
     asio::co_spawn(Pool.context(0), acceptLoop(),
                    [Self](const std::exception_ptr &) {});
