Judge a new version by its latest answers and ramp the last shift

Ruled out: late gossip (the state was written 0.2 s after the fault was found). Change: a quarter of the bound before the shift, 40% of the traffic for its first 0.6 s, answers of the last 2 s judged on their own, reports every 150 ms meanwhile.

--- a/include/sesamepaddle/admission/attempt_budget.h
+++ b/include/sesamepaddle/admission/attempt_budget.h
@@ -12,8 +12,8 @@
 
 /** Bounds of the retries to one service, over all VMs. */
 struct attempt_limits {
-  double Ratio = 0.2;          ///< retries per request in a window
-  double Slack = 56;           ///< retries beyond the ratio in a window
+  double Ratio = 0.2; ///< retries per request in a window
+  double Slack = 56;  ///< retries beyond the ratio in a window
   std::chrono::milliseconds Window{10'000};
 };
 
--- a/include/sesamepaddle/admission/demand_quota.h
+++ b/include/sesamepaddle/admission/demand_quota.h
@@ -13,7 +13,8 @@
 
 namespace sesamepaddle {
 
-/** A workspace's rate and burst, over all VMs, and what may slip beyond them. */
+/** A workspace's rate and burst, over all VMs, and what may slip beyond them.
+ */
 struct quota_terms {
   double RatePerSecond = 0; ///< 0: unlimited
   double Burst = 0;
--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -38,9 +38,9 @@
   std::string CallerAddress;
   std::string ReadinessAddress;
   std::string DirectoryAddress;
-  std::string MetricsAddress; ///< empty: none
+  std::string MetricsAddress;  ///< empty: none
   std::string PeerHttpAddress; ///< for what does not fit into a datagram
-  std::string GossipAddress;  ///< UDP
+  std::string GossipAddress;   ///< UDP
   std::vector<std::string> SeedGossipAddresses;
 };
 
--- a/include/sesamepaddle/moves/fleet_rollout.h
+++ b/include/sesamepaddle/moves/fleet_rollout.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,7 +36,7 @@
 
 /** What a VM tells the others about an order. */
 struct rollout_report {
-  std::map<std::string, rollout_counts> CountsByRoute;
+  std::map<std::string, rollout_counts> CountsByRoute; ///< since the order
   bool IsFaulty = false; ///< the sender found the new version bad
   std::optional<rollout_outcome> Recorded;
 };
@@ -89,12 +90,18 @@
   /** @returns what to tell the other VMs. */
   rollout_report report() const;
 
-  /** @returns true when all requests go to the new version. */
-  bool isShifted() const { return IsShifting; }
+  /** @returns true while evidence should reach the others fast. */
+  bool isUrgent() const { return !Recorded && (IsShifting || IsFaulty); }
 
 private:
-  rollout_counts sum(const std::string &Route) const;
-  bool isFaultFound() const;
+  using counts_by_route = std::map<std::string, rollout_counts>;
+  struct snapshot {
+    time_point At;
+    counts_by_route Counts;
+  };
+
+  counts_by_route sum() const;
+  bool isFaultFound(time_point Now);
   std::size_t newSamples() const;
 
   rollout_order Order;
@@ -102,8 +109,11 @@
   time_point Start;
   std::uint64_t Requests = 0;
   std::uint64_t SentToNew = 0;
-  std::map<std::string, rollout_counts> Own;
+  counts_by_route Own;
   std::map<std::string, rollout_report> Peers;
+  std::deque<snapshot> Snapshots; ///< of the sums, for judging the latest
+  time_point ShiftStart{};
+  time_point LatestAdvance{};
   bool IsFaulty = false;
   bool IsShifting = false;
   std::optional<rollout_outcome> Proposal;
--- a/include/sesamepaddle/placing/placement.h
+++ b/include/sesamepaddle/placing/placement.h
@@ -32,8 +32,8 @@
   std::set<failure_domain_name> EvacuatedDomains;
   /** Requests a second that a cold endpoint tolerates; 0: no limit. */
   double ColdRequestsPerSecond = 0;
-  std::size_t Vms = 1;          ///< that may send to the same endpoint
-  std::size_t VmRank = 0;       ///< of this VM among them
+  std::size_t Vms = 1;    ///< that may send to the same endpoint
+  std::size_t VmRank = 0; ///< of this VM among them
 };
 
 /** How placing weighs things. */
--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -81,7 +81,8 @@
     boost::system::error_code Error;
     if (Buffer.size() >= MaxBuffered) {
       Room.expires_at(asio::steady_timer::time_point::max());
-      co_await Room.async_wait(asio::redirect_error(asio::use_awaitable, Error));
+      co_await Room.async_wait(
+          asio::redirect_error(asio::use_awaitable, Error));
       if (!Socket.is_open())
         break;
       continue;
@@ -141,8 +142,9 @@
   if (Message.count(http::field::host) != 1)
     return read_end::Malformed;
   const auto Length = Parser.content_length();
-  const auto Most = static_cast<double>(Context->Fleet.options().Bounds.MemoryBytes) *
-                    BodyMemoryPart;
+  const auto Most =
+      static_cast<double>(Context->Fleet.options().Bounds.MemoryBytes) *
+      BodyMemoryPart;
   if (Length && static_cast<double>(Context->BodyBytesHeld + *Length) > Most)
     return read_end::Overloaded;
   return read_end::Whole;
@@ -176,8 +178,7 @@
         Until = boot_clock::now() + BodyTimeout;
         if (const auto End = checkFraming(Parser); End != read_end::Whole)
           co_return End;
-        if (beast::iequals(Parser.get()[http::field::expect],
-                           "100-continue") &&
+        if (beast::iequals(Parser.get()[http::field::expect], "100-continue") &&
             !Parser.is_done()) {
           static constexpr std::string_view Continue =
               "HTTP/1.1 100 Continue\r\n\r\n";
@@ -227,9 +228,9 @@
                                       bool IsHead) {
   http_headers Headers = Reply.Headers;
   removeHopByHopHeaders(Headers);
-  std::string Head = absl::StrCat("HTTP/1.1 ", Reply.Status, " ",
-                                  std::string(reasonPhrase(Reply.Status)),
-                                  "\r\n");
+  std::string Head =
+      absl::StrCat("HTTP/1.1 ", Reply.Status, " ",
+                   std::string(reasonPhrase(Reply.Status)), "\r\n");
   for (const auto &Header : Headers)
     absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
   const bool HasBody = Reply.Status != 204 && Reply.Status != 304;
@@ -238,8 +239,8 @@
   if (!KeepAlive)
     Head += "Connection: close\r\n";
   Head += "\r\n";
-  std::array<asio::const_buffer, 2> Buffers = {
-      asio::buffer(Head), asio::buffer(Reply.Body)};
+  std::array<asio::const_buffer, 2> Buffers = {asio::buffer(Head),
+                                               asio::buffer(Reply.Body)};
   if (!HasBody || IsHead)
     Buffers[1] = {};
   const auto Self = shared_from_this();
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -25,8 +25,8 @@
     notices at once when it leaves. */
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-  using parser = boost::beast::http::request_parser<
-      boost::beast::http::string_body>;
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   caller_session(tcp::socket Socket, std::shared_ptr<session_context> Context);
   ~caller_session();
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -99,9 +99,8 @@
 }
 
 quota_terms fleet_state::termsOf(const workspace_terms &Workspace) const {
-  return {Workspace.RatePerSecond, Workspace.Burst,
-          Options.Bounds.QuotaWindow, Options.Bounds.QuotaOvershoot,
-          Options.Bounds.QuotaSlack};
+  return {Workspace.RatePerSecond, Workspace.Burst, Options.Bounds.QuotaWindow,
+          Options.Bounds.QuotaOvershoot, Options.Bounds.QuotaSlack};
 }
 
 version_choice fleet_state::drawVersion(const service_name &Service) {
@@ -140,7 +139,7 @@
     int Distance;
     std::string Address;
   };
-  const auto distance = [&](const region_name &VmRegion,
+  const auto DistanceOf = [&](const region_name &VmRegion,
                             const failure_domain_name &VmDomain) {
     if (VmDomain == Domain)
       return 0;
@@ -148,12 +147,12 @@
   };
   std::vector<named> Named;
   if (!IsDraining && Configuration)
-    Named.push_back({distance(Options.Vm.Region, Options.Vm.FailureDomain),
+    Named.push_back({DistanceOf(Options.Vm.Region, Options.Vm.FailureDomain),
                      Options.Vm.CallerAddress});
   for (const auto &[Name, Vm] : Vms)
     if (Vm.IsReady && Now - Vm.LastHeard < Options.Bounds.VmSilence)
       Named.push_back(
-          {distance(Vm.Region, Vm.FailureDomain), Vm.CallerAddress});
+          {DistanceOf(Vm.Region, Vm.FailureDomain), Vm.CallerAddress});
   std::stable_sort(Named.begin(), Named.end(),
                    [](const named &Left, const named &Right) {
                      return Left.Distance < Right.Distance;
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -35,8 +35,8 @@
       : Pool(Pool), Fleet(std::move(Options)),
         Upstreams(Fleet.options().Fields.RequestId),
         Path(Fleet, Upstreams, Metrics, Decisions),
-        Sessions(std::make_shared<session_context>(
-            session_context{Fleet, Path})),
+        Sessions(
+            std::make_shared<session_context>(session_context{Fleet, Path})),
         Gossip(std::make_shared<vm_gossip>(Pool.context(0), Fleet, Path)),
         Acceptor(Pool.context(0)), Tick(Pool.context(0)),
         Extra(std::move(Extra)) {}
@@ -121,8 +121,8 @@
     if (Where == Paths.Directory)
       return answerLookup(Request.Target);
     if (Where == Paths.Metrics)
-      return {200, {{"Content-Type", "text/plain; version=0.0.4"}},
-              metricsText()};
+      return {
+          200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()};
     if (Extra)
       if (auto Reply = Extra(Request))
         return std::move(*Reply);
@@ -181,7 +181,8 @@
     for (int Turn = 0;; ++Turn) {
       boost::system::error_code Error;
       Tick.expires_after(TickInterval);
-      co_await Tick.async_wait(asio::redirect_error(asio::use_awaitable, Error));
+      co_await Tick.async_wait(
+          asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
       Fleet.endpoints().expire(Now);
       for (auto &[Service, Rollout] : Fleet.rollouts())
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -133,8 +133,8 @@
   if (Pass.Workspace != nullptr) {
     const auto Terms = Fleet.termsOf(*Pass.Workspace);
     if (!Fleet.quota().admit(Pass.Workspace->Name, Terms, Now)) {
-      const double Seconds = Fleet.quota().secondsToAdmission(
-          Pass.Workspace->Name, Terms, Now);
+      const double Seconds =
+          Fleet.quota().secondsToAdmission(Pass.Workspace->Name, Terms, Now);
       return refuse(Pass, 429, "quota", std::min(Seconds, 1.0));
     }
   }
@@ -175,10 +175,10 @@
        {Fields.Key, Fields.Workspace, Fields.ExpectedEndpoint,
         Fields.DeadlineMs, Fields.RequestId, std::string("Expect")})
     removeHeader(Headers, Name);
-  const auto Left = std::max<std::int64_t>(
-      1, std::chrono::duration_cast<milliseconds>(Pass.Deadline -
-                                                  boot_clock::now())
-             .count());
+  const auto Left =
+      std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(
+                                    Pass.Deadline - boot_clock::now())
+                                    .count());
   auto Request = std::make_shared<upstream_request>();
   std::string &Head = Request->Head;
   absl::StrAppend(&Head, Message.Method, " ", Message.Target, " HTTP/1.1\r\n");
@@ -235,8 +235,6 @@
     return;
   case exchange_end::Lost:
   case exchange_end::Malformed:
-    Endpoint.addAnswer(true);
-    break;
   case exchange_end::TimedOut:
     Endpoint.addAnswer(true);
     break;
@@ -263,8 +261,7 @@
   if (auto Found = Fleet.rollouts().find(Pass.Service);
       Found != Fleet.rollouts().end() && !Endpoint.isCold(Now)) {
     const bool IsAnswer = Result.End == exchange_end::Answered;
-    if (!IsAnswer ||
-        classify(Result.Reply, Fields) != answer_meaning::NotRun)
+    if (!IsAnswer || classify(Result.Reply, Fields) != answer_meaning::NotRun)
       Found->second.observe(Pass.Route->Name, Pass.Version.IsNew,
                             !IsAnswer || isFaultStatus(Result.Reply.Status));
   }
@@ -289,8 +286,9 @@
     }
     const auto &Services = Pass.Route->Services;
     const bool IsServiceCurrent = std::any_of(
-        Services.begin(), Services.end(),
-        [&](const weighted_service &Part) { return Part.Service == Pass.Service; });
+        Services.begin(), Services.end(), [&](const weighted_service &Part) {
+          return Part.Service == Pass.Service;
+        });
     if (!IsServiceCurrent) {
       Pass.Service = Pass.Route->serviceFor(Fleet.draw());
       Pass.Version = Fleet.drawVersion(Pass.Service);
@@ -372,17 +370,17 @@
   } else {
     auto Time = Pass.Route->Timeout;
     std::int64_t Asked = 0;
-    if (absl::SimpleAtoi(
-            toAbsl(findHeader(Message.Headers, Fields.DeadlineMs)), &Asked) &&
+    if (absl::SimpleAtoi(toAbsl(findHeader(Message.Headers, Fields.DeadlineMs)),
+                         &Asked) &&
         Asked > 0)
       Time = std::min(Time, milliseconds(Asked));
     Pass.Deadline = Pass.Request.Arrival + Time;
     Pass.Service = Pass.Route->serviceFor(Fleet.draw());
     const auto Object = findHeader(Message.Headers, Fields.Object);
-    Pass.ObjectHash = Object.empty()
-                          ? stableHash(Pass.RequestId)
-                          : stableHash(absl::StrCat(Pass.Service.str(), "/",
-                                                    toAbsl(Object)));
+    Pass.ObjectHash =
+        Object.empty()
+            ? stableHash(Pass.RequestId)
+            : stableHash(absl::StrCat(Pass.Service.str(), "/", toAbsl(Object)));
     Pass.Fingerprint = std::to_string(stableHash(absl::StrCat(
         Pass.Workspace != nullptr ? Pass.Workspace->Name.str() : "", " ",
         Message.Method, " ", Message.Target, " ", Message.Body)));
@@ -398,6 +396,8 @@
     }
   }
   const auto Took = boot_clock::now() - Pass.Request.Arrival;
+  const std::string Workspace =
+      Pass.Workspace != nullptr ? Pass.Workspace->Name.str() : "";
   const std::string Route = Pass.Route != nullptr ? Pass.Route->Name.str() : "";
   Metrics.add(Pass.Workspace != nullptr ? Pass.Workspace->Name
                                         : workspace_name("none"),
@@ -406,10 +406,10 @@
                 "request id=", Pass.RequestId, " status=", Reply.Status,
                 " reason=", Pass.Reason, " route=", Route, " version=",
                 Pass.Configuration ? Pass.Configuration->version() : 0,
-                " service=", Pass.Service.str(), " endpoint=", Pass.Endpoint,
+                " service=", Pass.Service.str(), " workspace=", Workspace, " endpoint=", Pass.Endpoint,
                 " attempts=", Pass.Arrivals, " unreached=", Pass.Unreached,
-                " ms=", toMilliseconds(Took), " object=",
-                toAbsl(findHeader(Message.Headers, Fields.Object))),
+                " ms=", toMilliseconds(Took),
+                " object=", toAbsl(findHeader(Message.Headers, Fields.Object))),
             boot_clock::now());
   co_return Reply;
 }
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -49,8 +49,8 @@
   awaitable<http_reply> send(pass &Pass);
   awaitable<exchange_result> exchange(pass &Pass,
                                       const endpoint_pointer &Endpoint);
-  std::shared_ptr<upstream_request> makeUpstreamRequest(
-      const pass &Pass, const fleet_endpoint &Endpoint) const;
+  std::shared_ptr<upstream_request>
+  makeUpstreamRequest(const pass &Pass, const fleet_endpoint &Endpoint) const;
   bool mayRetry(pass &Pass, bool IsArrival);
   void learn(pass &Pass, fleet_endpoint &Endpoint,
              const exchange_result &Result);
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -58,8 +58,8 @@
   /** @returns true when the other end neither closed nor sent anything. */
   bool isQuiet() {
     char Byte = 0;
-    const auto Count = ::recv(Socket.native_handle(), &Byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
+    const auto Count =
+        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
@@ -133,8 +133,7 @@
   if (!Connection) {
     const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
         Limits.Deadline - Now);
-    Connection =
-        co_await open(Address, std::min(Limits.Connect, Left), Cancel);
+    Connection = co_await open(Address, std::min(Limits.Connect, Left), Cancel);
   }
   if (Cancel->isCancelled()) {
     Result.End = exchange_end::Cancelled;
@@ -163,11 +162,11 @@
   const std::array<asio::const_buffer, 2> Buffers = {
       asio::buffer(Request->Head),
       asio::buffer(Request->Body.data(), Request->Body.size())};
-  asio::async_write(Connection->Socket, Buffers,
-                    [Connection, Request](const boost::system::error_code &,
-                                          std::size_t) {
-                      Connection->IsWriting = false;
-                    });
+  asio::async_write(
+      Connection->Socket, Buffers,
+      [Connection, Request](const boost::system::error_code &, std::size_t) {
+        Connection->IsWriting = false;
+      });
   const bool IsReused = Result.IsReused;
   Result = co_await readAnswer(Connection, Request, Limits.BodyBytes);
   Result.IsReused = IsReused;
@@ -220,9 +219,9 @@
     const bool HasId = Field != Message.end();
     const bool IsInterim = Message.result_int() < 200;
     const bool IsForeign =
-        HasId && Field->value() != boost::beast::string_view(
-                                       Request->RequestId.data(),
-                                       Request->RequestId.size());
+        HasId &&
+        Field->value() != boost::beast::string_view(Request->RequestId.data(),
+                                                    Request->RequestId.size());
     if (IsForeign || IsInterim) {
       WasForeign = WasForeign || IsForeign;
       if (!Parser.keep_alive())
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -16,6 +16,9 @@
 // Between two messages to the same VM while there are few; evidence and demand
 // are at most this old, and a VM is found silent after five missing ones.
 constexpr milliseconds ShortInterval{500};
+// While all traffic moves to a new version: a fault has to be known everywhere
+// before many requests meet it.
+constexpr milliseconds UrgentInterval{150};
 // Datagrams that a VM sends in a second at most, for 2 KB/s of control.
 constexpr double MaxDatagramsPerSecond = 20;
 // A VM that has been silent this long is tried less often.
@@ -52,8 +55,8 @@
   Message.IsCompleted = Report.Recorded == rollout_outcome::Completed;
   Message.IsRolledBack = Report.Recorded == rollout_outcome::RolledBack;
   for (const auto &[Route, Counts] : Report.CountsByRoute)
-    Message.Counts.push_back({Route, Counts.NewGood, Counts.NewBad,
-                              Counts.OldGood, Counts.OldBad});
+    Message.Counts.push_back(
+        {Route, Counts.NewGood, Counts.NewBad, Counts.OldGood, Counts.OldBad});
   return Message;
 }
 
@@ -100,6 +103,9 @@
 void vm_gossip::sendNow() { sendAll(boot_clock::now()); }
 
 milliseconds vm_gossip::interval() const {
+  for (const auto &[Service, Rollout] : Fleet.rollouts())
+    if (Rollout.isUrgent())
+      return UrgentInterval;
   const auto Spread = milliseconds(static_cast<std::int64_t>(
       static_cast<double>(Fleet.vms().size()) * 1000 / MaxDatagramsPerSecond));
   return std::max(ShortInterval, Spread);
@@ -130,8 +136,7 @@
     sendAll(boot_clock::now());
     boost::system::error_code Error;
     Timer.expires_after(interval());
-    co_await Timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Error));
+    co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
   }
 }
 
@@ -192,14 +197,12 @@
   if (Message.Name == Fleet.options().Vm.Name.str())
     return;
   const auto Before = Fleet.vms().find(vm_name(Message.Name));
-  const bool IsNew =
-      Before == Fleet.vms().end() ||
-      static_cast<std::uint64_t>(Before->second.Incarnation) !=
-          Message.Incarnation;
+  const bool IsNew = Before == Fleet.vms().end() ||
+                     static_cast<std::uint64_t>(Before->second.Incarnation) !=
+                         Message.Incarnation;
   if (IsNew || Before->second.IsReady != Message.IsReady)
-    Log.info(absl::StrCat("vm name=", Message.Name,
-                          " incarnation=", Message.Incarnation,
-                          " ready=", Message.IsReady));
+    Log.info(absl::StrCat("vm name=", Message.Name, " incarnation=",
+                          Message.Incarnation, " ready=", Message.IsReady));
   known_vm Vm;
   Vm.Name = vm_name(Message.Name);
   Vm.Incarnation = static_cast<incarnation>(Message.Incarnation);
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -1,7 +1,6 @@
 #include "sesamepaddle/moves/fleet_rollout.h"
 
 #include <algorithm>
-#include <set>
 
 namespace sesamepaddle {
 
@@ -9,14 +8,21 @@
 
 // Parts of the bound on exposure that are used before all traffic moves. The
 // rest covers the shift of a version that turns bad while it happens.
-constexpr double UsedShare = 0.45;
-constexpr double UsedSlack = 0.4;
+constexpr double UsedShare = 0.25;
+constexpr double UsedSlack = 0.25;
 // Chance of the new version while its part is not used up.
 constexpr double EagerShare = 0.3;
 // All traffic moves this long before the set time, and the record follows when
 // what was under way at the old endpoints has had time to end.
 constexpr std::chrono::milliseconds ShiftBefore{3'000};
 constexpr std::chrono::milliseconds RecordBefore{1'500};
+// Until then the new version gets this part only, so that a fault under load
+// shows before all requests meet it.
+constexpr std::chrono::milliseconds HalfShift{600};
+constexpr double HalfShiftShare = 0.4;
+// The latest answers are those of this long, kept in steps.
+constexpr std::chrono::milliseconds JudgedWindow{2'000};
+constexpr std::chrono::milliseconds SnapshotInterval{400};
 // Answers of the new version, of all VMs, below which it is not judged good.
 constexpr std::size_t LeastSamples = 8;
 // A version is bad with this many bad answers on a route, when they are this
@@ -36,9 +42,24 @@
   Sum.OldBad += More.OldBad;
 }
 
-bool isWorse(const rollout_counts &Counts) {
+std::uint32_t lessOf(std::uint32_t Now, std::uint32_t Before) {
+  // A VM that restarted counts from nothing again.
+  return Now > Before ? Now - Before : 0;
+}
+
+rollout_counts difference(const rollout_counts &Now,
+                          const rollout_counts &Before) {
+  return {lessOf(Now.NewGood, Before.NewGood), lessOf(Now.NewBad, Before.NewBad),
+          lessOf(Now.OldGood, Before.OldGood),
+          lessOf(Now.OldBad, Before.OldBad)};
+}
+
+/** @param Since  all answers since the order: with all traffic at the new
+                  version, the old one has no latest ones to compare with */
+bool isWorse(const rollout_counts &Counts, const rollout_counts &Since) {
   const double New = shareOf(Counts.NewBad, Counts.NewGood);
-  const double Old = shareOf(Counts.OldBad, Counts.OldGood);
+  const double Old = std::max(shareOf(Counts.OldBad, Counts.OldGood),
+                              shareOf(Since.OldBad, Since.OldGood));
   return Counts.NewBad >= LeastBad && New >= BadShare &&
          New >= WorseThanOld * Old;
 }
@@ -55,12 +76,16 @@
     return *Recorded == rollout_outcome::Completed;
   if (IsFaulty)
     return false;
-  const double Most =
-      UsedShare * Limits.Share * static_cast<double>(Requests) +
-      UsedSlack * Limits.Slack /
-          static_cast<double>(std::max<std::size_t>(Vms, 1));
-  const bool IsNew = IsShifting || (Draw < EagerShare &&
-                                    static_cast<double>(SentToNew) + 1 <= Most);
+  const double Most = UsedShare * Limits.Share * static_cast<double>(Requests) +
+                      UsedSlack * Limits.Slack /
+                          static_cast<double>(std::max<std::size_t>(Vms, 1));
+  const bool IsHalf = LatestAdvance - ShiftStart < HalfShift;
+  if (IsShifting) {
+    ++SentToNew;
+    return !IsHalf || Draw < HalfShiftShare;
+  }
+  const bool IsNew =
+      Draw < EagerShare && static_cast<double>(SentToNew) + 1 <= Most;
   SentToNew += IsNew ? 1 : 0;
   return IsNew;
 }
@@ -80,32 +105,36 @@
   Peers[Vm] = std::move(Report);
 }
 
-rollout_counts fleet_rollout::sum(const std::string &Route) const {
-  rollout_counts Sum;
-  if (const auto Found = Own.find(Route); Found != Own.end())
-    add(Sum, Found->second);
+fleet_rollout::counts_by_route fleet_rollout::sum() const {
+  counts_by_route Sum = Own;
   for (const auto &[Vm, Report] : Peers)
-    if (const auto Found = Report.CountsByRoute.find(Route);
-        Found != Report.CountsByRoute.end())
-      add(Sum, Found->second);
+    for (const auto &[Route, Counts] : Report.CountsByRoute)
+      add(Sum[Route], Counts);
   return Sum;
 }
 
-bool fleet_rollout::isFaultFound() const {
-  std::set<std::string> Routes;
-  for (const auto &[Route, Counts] : Own)
-    Routes.insert(Route);
-  for (const auto &[Vm, Report] : Peers)
-    for (const auto &[Route, Counts] : Report.CountsByRoute)
-      Routes.insert(Route);
+// A fault may begin late or under load: what came before must not dilute it, so
+// the latest answers are judged on their own as well.
+bool fleet_rollout::isFaultFound(time_point Now) {
+  const auto Sum = sum();
+  if (Snapshots.empty() || Now - Snapshots.back().At >= SnapshotInterval)
+    Snapshots.push_back({Now, Sum});
+  while (Snapshots.size() > 1 && Now - Snapshots[1].At >= JudgedWindow)
+    Snapshots.pop_front();
+  const auto &Earlier = Snapshots.front().Counts;
   rollout_counts All;
-  for (const auto &Route : Routes) {
-    const auto Counts = sum(Route);
-    if (isWorse(Counts))
+  rollout_counts AllLatest;
+  for (const auto &[Route, Counts] : Sum) {
+    const auto Before = Earlier.find(Route);
+    const auto Latest = Before == Earlier.end()
+                            ? Counts
+                            : difference(Counts, Before->second);
+    if (isWorse(Counts, Counts) || isWorse(Latest, Counts))
       return true;
     add(All, Counts);
+    add(AllLatest, Latest);
   }
-  return isWorse(All);
+  return isWorse(All, All) || isWorse(AllLatest, All);
 }
 
 std::size_t fleet_rollout::newSamples() const {
@@ -119,9 +148,10 @@
 }
 
 void fleet_rollout::advance(time_point Now, bool IsStoreFresh) {
+  LatestAdvance = Now;
   if (Recorded)
     return;
-  IsFaulty = IsFaulty || isFaultFound();
+  IsFaulty = IsFaulty || isFaultFound(Now);
   if (IsFaulty) {
     IsShifting = false;
     Proposal = rollout_outcome::RolledBack;
@@ -133,7 +163,10 @@
     Proposal = rollout_outcome::RolledBack;
     return;
   }
+  const bool WasShifting = IsShifting;
   IsShifting = IsStoreFresh && IsJudged && Age >= Order.Duration - ShiftBefore;
+  if (IsShifting && !WasShifting)
+    ShiftStart = Now;
   if (IsShifting && Age >= Order.Duration - RecordBefore)
     Proposal = rollout_outcome::Completed;
   else
@@ -146,6 +179,8 @@
   Proposal.reset();
 }
 
-rollout_report fleet_rollout::report() const { return {Own, IsFaulty, Recorded}; }
+rollout_report fleet_rollout::report() const {
+  return {Own, IsFaulty, Recorded};
+}
 
 } // namespace sesamepaddle
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -56,8 +56,8 @@
                    time_point Now) {
   if (Limits.ColdRequestsPerSecond <= 0)
     return;
-  const auto Senders = std::min(std::max<std::size_t>(Limits.Vms, 1),
-                                MaxColdSenders);
+  const auto Senders =
+      std::min(std::max<std::size_t>(Limits.Vms, 1), MaxColdSenders);
   const double Seconds =
       static_cast<double>(Senders) / Limits.ColdRequestsPerSecond;
   // Never more than one request a second from each sender: the bound counts
@@ -77,10 +77,11 @@
          std::max(1U, Endpoint.Record.Slots);
 }
 
-std::vector<candidate> orderCandidates(
-    std::span<const endpoint_pointer> Endpoints,
-    const placement_request &Request, const placement_limits &Limits,
-    const placement_options &Options) {
+std::vector<candidate>
+orderCandidates(std::span<const endpoint_pointer> Endpoints,
+                const placement_request &Request,
+                const placement_limits &Limits,
+                const placement_options &Options) {
   std::vector<candidate> Order;
   Order.reserve(Endpoints.size());
   for (const auto &Endpoint : Endpoints) {
