Borrow tokens of a workspace's limit before refusing

Ruled out: demand unknown to the others (parts were right after 3 s). Change: a VM whose bucket is empty asks one VM of its region, then one of another, which gives tokens up first; a new bucket begins with a part of the allowed overshoot.

--- a/include/sesamepaddle/admission/demand_quota.h
+++ b/include/sesamepaddle/admission/demand_quota.h
@@ -33,6 +33,10 @@
     itself the demand that it published, not a newer one, so that the parts of
     all VMs add up to one once the last message has arrived. A VM that has gone
     silent keeps its part, as it may be serving behind a cut.
+
+    The bucket of a small part is often empty while others are full. A VM that
+    would refuse for that reason borrows a token from another one, which gives
+    it up first: a lost message loses tokens and never doubles them.
 */
 class demand_quota {
 public:
@@ -41,6 +45,24 @@
   bool admit(const workspace_name &Workspace, const quota_terms &Terms,
              time_point Now);
 
+  /** @returns true when another VM is worth asking for a token: the fleet as a
+      whole is asked for less than the limit. */
+  bool isBorrowingUseful(const workspace_name &Workspace,
+                         const quota_terms &Terms) const;
+
+  /** Takes up to @p Wanted tokens out for another VM; what this VM needs itself
+      stays. @returns how many */
+  double lend(const workspace_name &Workspace, const quota_terms &Terms,
+              double Wanted, time_point Now);
+
+  /** Puts tokens in that another VM has lent. */
+  void addBorrowed(const workspace_name &Workspace, const quota_terms &Terms,
+                   double Tokens, time_point Now);
+
+  /** Takes a token for a request that admit() has counted and refused. */
+  bool admitBorrowed(const workspace_name &Workspace, const quota_terms &Terms,
+                     time_point Now);
+
   /** @returns seconds until this VM is likely to admit a request again. */
   double secondsToAdmission(const workspace_name &Workspace,
                             const quota_terms &Terms, time_point Now);
@@ -57,6 +79,9 @@
   /** Forgets a VM that has left for good. */
   void removePeer(const std::string &Vm);
 
+  /** @returns the demand of all VMs, as published. */
+  double totalDemand(const workspace_name &Workspace) const;
+
   /** @returns this VM's part of the workspace's limit, in (0, 1]. */
   double part(const workspace_name &Workspace) const;
 
--- a/src/admission/demand_quota.cpp
+++ b/src/admission/demand_quota.cpp
@@ -16,9 +16,15 @@
 // Part of the allowed overshoot that is used up on purpose, so that requests
 // within the rate are not refused for the split; the rest covers late messages.
 constexpr double UsedOvershoot = 0.45;
-// Depth with which a new bucket begins, as a part of its full depth: the VM may
-// be the successor of one that has just spent it.
-constexpr double InitialFill = 0.3;
+// What a new bucket begins with, as a part of the allowed overshoot: the VM may
+// be the successor of one that has just spent its own.
+constexpr double InitialOvershoot = 0.4;
+// Tokens that a lender keeps for itself, and the share of its bucket that it
+// lends at most at a time.
+constexpr double LenderReserve = 1.0;
+constexpr double LentShare = 0.5;
+// Demand over the limit from which borrowing only moves refusals about.
+constexpr double UsefulDemand = 1.05;
 
 double secondsBetween(time_point From, time_point To) {
   return std::chrono::duration<double>(To - From).count();
@@ -27,26 +33,34 @@
 struct bucket_shape {
   double Rate;
   double Depth;
+  double Initial;
 };
 
 bucket_shape shapeOf(const quota_terms &Terms, double Part) {
   const double Window = std::chrono::duration<double>(Terms.Window).count();
   const double Allowed = Terms.RatePerSecond * Window + Terms.Burst;
   const double Overshoot =
-      UsedOvershoot * (Allowed * Terms.OvershootRatio + Terms.OvershootSlack);
+      Allowed * Terms.OvershootRatio + Terms.OvershootSlack;
   return {Part * Terms.RatePerSecond,
-          std::max(1.0, Part * (Terms.Burst + Overshoot))};
+          std::max(1.0, Part * (Terms.Burst + UsedOvershoot * Overshoot)),
+          std::max(1.0, Part * InitialOvershoot * Overshoot)};
 }
 
 } // namespace
 
-double demand_quota::part(const workspace_name &Workspace) const {
+double demand_quota::totalDemand(const workspace_name &Workspace) const {
   const auto Own = Accounts.find(Workspace.str());
-  const double OwnDemand = Own == Accounts.end() ? 0 : Own->second.Published;
-  double Total = OwnDemand;
+  double Total = Own == Accounts.end() ? 0 : Own->second.Published;
   for (const auto &[Vm, Demand] : Peers)
     if (const auto Found = Demand.find(Workspace.str()); Found != Demand.end())
       Total += Found->second;
+  return Total;
+}
+
+double demand_quota::part(const workspace_name &Workspace) const {
+  const auto Own = Accounts.find(Workspace.str());
+  const double OwnDemand = Own == Accounts.end() ? 0 : Own->second.Published;
+  const double Total = totalDemand(Workspace);
   const double Even = 1.0 / static_cast<double>(Peers.size() + 1);
   if (Total <= 0)
     return Even;
@@ -60,7 +74,7 @@
   const auto Shape = shapeOf(Terms, part(Workspace));
   if (!Account.Bucket) {
     Account.Bucket.emplace(Shape.Rate, Shape.Depth, Now);
-    Account.Bucket->give(Shape.Depth * InitialFill, Now);
+    Account.Bucket->give(Shape.Initial, Now);
   } else {
     Account.Bucket->reshape(Shape.Rate, Shape.Depth, Now);
   }
@@ -77,6 +91,33 @@
   return Account.Bucket->tryTake(1, Now);
 }
 
+bool demand_quota::admitBorrowed(const workspace_name &Workspace,
+                                 const quota_terms &Terms, time_point Now) {
+  return reshaped(Workspace, Terms, Now).Bucket->tryTake(1, Now);
+}
+
+bool demand_quota::isBorrowingUseful(const workspace_name &Workspace,
+                                     const quota_terms &Terms) const {
+  return !Peers.empty() &&
+         totalDemand(Workspace) < UsefulDemand * Terms.RatePerSecond;
+}
+
+double demand_quota::lend(const workspace_name &Workspace,
+                          const quota_terms &Terms, double Wanted,
+                          time_point Now) {
+  auto &Bucket = *reshaped(Workspace, Terms, Now).Bucket;
+  const double Spare = Bucket.available(Now) - LenderReserve;
+  const double Most = std::max(1.0, Spare * LentShare);
+  const double Lent = std::floor(std::min(Wanted, Most));
+  return Spare >= 1 && Bucket.tryTake(Lent, Now) ? Lent : 0;
+}
+
+void demand_quota::addBorrowed(const workspace_name &Workspace,
+                               const quota_terms &Terms, double Tokens,
+                               time_point Now) {
+  reshaped(Workspace, Terms, Now).Bucket->give(Tokens, Now);
+}
+
 double demand_quota::secondsToAdmission(const workspace_name &Workspace,
                                         const quota_terms &Terms,
                                         time_point Now) {
--- a/src/ingress/gossip_message.cpp
+++ b/src/ingress/gossip_message.cpp
@@ -8,24 +8,22 @@
 // A datagram that claims more elements than fit into it is not unpacked.
 constexpr std::size_t MaxElements = 4'096;
 
-} // namespace
+constexpr std::uint8_t TokenFormat = 2;
 
-std::string encodeGossip(const gossip_message &Message) {
+template <typename Message> std::string encode(const Message &Content) {
   msgpack::sbuffer Packed;
-  msgpack::pack(Packed, Message);
+  msgpack::pack(Packed, Content);
   return {Packed.data(), Packed.size()};
 }
 
-std::optional<gossip_message> decodeGossip(std::string_view Datagram) {
+template <typename Message>
+std::optional<Message> decode(std::string_view Datagram) {
   try {
     const msgpack::unpack_limit Limit(MaxElements, MaxElements, Datagram.size(),
                                       Datagram.size(), 0, 8);
     const auto Handle = msgpack::unpack(Datagram.data(), Datagram.size(),
                                         nullptr, nullptr, Limit);
-    auto Message = Handle.get().as<gossip_message>();
-    if (Message.Format != KnownFormat || Message.Name.empty())
-      return std::nullopt;
-    return Message;
+    return Handle.get().as<Message>();
   } catch (const msgpack::unpack_error &) {
     return std::nullopt;
   } catch (const msgpack::type_error &) {
@@ -33,4 +31,26 @@
   }
 }
 
+} // namespace
+
+std::string encodeTokens(const token_message &Message) {
+  return encode(Message);
+}
+
+std::optional<token_message> decodeTokens(std::string_view Datagram) {
+  auto Message = decode<token_message>(Datagram);
+  return Message && Message->Format == TokenFormat ? Message : std::nullopt;
+}
+
+std::string encodeGossip(const gossip_message &Message) {
+  return encode(Message);
+}
+
+std::optional<gossip_message> decodeGossip(std::string_view Datagram) {
+  auto Message = decode<gossip_message>(Datagram);
+  const bool IsKnown =
+      Message && Message->Format == KnownFormat && !Message->Name.empty();
+  return IsKnown ? Message : std::nullopt;
+}
+
 } // namespace sesamepaddle
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -67,6 +67,23 @@
                  Rollouts, Crashes, Vms)
 };
 
+/** Asks another VM for tokens of a workspace's limit, or gives them. */
+struct token_message {
+  std::uint8_t Format = 2;
+  bool IsGiven = false;
+  std::uint64_t Question = 0; ///< names the question that is answered
+  std::string ReplyAddress;
+  std::string Workspace;
+  float Tokens = 0;
+  MSGPACK_DEFINE(Format, IsGiven, Question, ReplyAddress, Workspace, Tokens)
+};
+
+/** @returns the datagram for @p Message. */
+std::string encodeTokens(const token_message &Message);
+
+/** @returns the message in @p Datagram, or nothing when it is none. */
+std::optional<token_message> decodeTokens(std::string_view Datagram);
+
 /** @returns the datagram for @p Message. */
 std::string encodeGossip(const gossip_message &Message);
 
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -128,19 +128,25 @@
   return std::nullopt;
 }
 
-std::optional<http_reply> request_path::admit(pass &Pass) {
+awaitable<std::optional<http_reply>> request_path::admit(pass &Pass) {
   const auto Now = Pass.Request.Arrival;
-  if (Pass.Workspace != nullptr) {
-    const auto Terms = Fleet.termsOf(*Pass.Workspace);
-    if (!Fleet.quota().admit(Pass.Workspace->Name, Terms, Now)) {
-      const double Seconds =
-          Fleet.quota().secondsToAdmission(Pass.Workspace->Name, Terms, Now);
-      return refuse(Pass, 429, "quota", std::min(Seconds, 1.0));
-    }
-  }
   if (!Poison.mayRun(Pass.Fingerprint, Now))
-    return refuse(Pass, 503, "crashes-endpoints", 0);
-  return std::nullopt;
+    co_return refuse(Pass, 503, "crashes-endpoints", 0);
+  if (Pass.Workspace == nullptr)
+    co_return std::nullopt;
+  // By value: a newer configuration may come while a token is borrowed.
+  const auto Terms = Fleet.termsOf(*Pass.Workspace);
+  const auto Workspace = Pass.Workspace->Name;
+  if (Fleet.quota().admit(Workspace, Terms, Now))
+    co_return std::nullopt;
+  if (Borrow && Fleet.quota().isBorrowingUseful(Workspace, Terms)) {
+    const bool IsAdmitted = co_await Borrow(Workspace);
+    if (IsAdmitted)
+      co_return std::nullopt;
+  }
+  const double Seconds =
+      Fleet.quota().secondsToAdmission(Workspace, Terms, boot_clock::now());
+  co_return refuse(Pass, 429, "quota", std::min(Seconds, 1.0));
 }
 
 bool request_path::mayRetry(pass &Pass, bool IsArrival) {
@@ -384,8 +390,9 @@
     Pass.Fingerprint = std::to_string(stableHash(absl::StrCat(
         Pass.Workspace != nullptr ? Pass.Workspace->Name.str() : "", " ",
         Message.Method, " ", Message.Target, " ", Message.Body)));
-    if (auto Refusal = admit(Pass)) {
-      Reply = std::move(*Refusal);
+    auto Refused = co_await admit(Pass);
+    if (Refused) {
+      Reply = std::move(*Refused);
       Pass.Reason = "refused";
     } else {
       Fleet.attempts().addRequest(Pass.Service, Pass.Request.Arrival);
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -38,6 +38,10 @@
   std::size_t inFlight() const { return InFlight; }
   poison_registry &poison() { return Poison; }
 
+  /** Asks the other VMs for a token of a workspace's limit; true when the
+      bucket has one now. */
+  std::function<awaitable<bool>(workspace_name)> Borrow;
+
   /** Called with a crash that the other VMs should hear of. */
   std::function<void(const crash_evidence &)> OnCrash;
 
@@ -45,7 +49,7 @@
   struct pass;
 
   std::optional<http_reply> authorize(pass &Pass);
-  std::optional<http_reply> admit(pass &Pass);
+  awaitable<std::optional<http_reply>> admit(pass &Pass);
   awaitable<http_reply> send(pass &Pass);
   awaitable<exchange_result> exchange(pass &Pass,
                                       const endpoint_pointer &Endpoint);
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -25,6 +25,13 @@
 constexpr std::chrono::seconds SilenceUntilRare{8};
 constexpr int RareTurns = 8;
 constexpr std::size_t MaxCrashes = 16;
+// Lenders that are asked one after the other for one request, and how long each
+// has: two ways between regions and a turn of its processor.
+constexpr std::size_t MaxLenders = 2;
+constexpr milliseconds LenderTimeout{30};
+// Tokens asked for at a time, so that the next request finds one.
+constexpr float TokensAsked = 3;
+constexpr std::size_t MaxOpenQuestions = 64;
 
 std::optional<asio::ip::udp::endpoint> parseUdp(const std::string &Address) {
   const auto Endpoint = parseEndpoint(Address);
@@ -79,6 +86,13 @@
     return makeFailure(net_failure::ListenFailed,
                        absl::StrCat(Address, ": ", Error.message()));
   const auto Self = shared_from_this();
+  Path.Borrow = [Weak = weak_from_this()](
+                    workspace_name Workspace) -> awaitable<bool> {
+    const auto Gossip = Weak.lock();
+    if (!Gossip)
+      co_return false;
+    co_return co_await Gossip->borrow(std::move(Workspace));
+  };
   Path.OnCrash = [Weak = weak_from_this()](const crash_evidence &Crash) {
     if (const auto Gossip = Weak.lock();
         Gossip && Gossip->Crashes.size() < MaxCrashes) {
@@ -123,8 +137,11 @@
       co_return;
     if (Error)
       continue;
-    if (const auto Message = decodeGossip({Datagram.data(), Bytes}))
+    const std::string_view Received(Datagram.data(), Bytes);
+    if (const auto Message = decodeGossip(Received))
       take(*Message, boot_clock::now());
+    else if (const auto Tokens = decodeTokens(Received))
+      takeTokens(*Tokens, boot_clock::now());
     else
       Log.warn("datagram dropped reason=malformed bytes=" +
                std::to_string(Bytes));
@@ -193,6 +210,80 @@
     Log.debug("datagram not sent to=" + Address + " error=" + Error.message());
 }
 
+std::optional<quota_terms>
+vm_gossip::termsOf(const workspace_name &Workspace) const {
+  const auto Configuration = Fleet.configuration();
+  if (!Configuration)
+    return std::nullopt;
+  for (const auto &Terms : Configuration->workspaces())
+    if (Terms.Name == Workspace)
+      return Fleet.termsOf(Terms);
+  return std::nullopt;
+}
+
+std::vector<std::string> vm_gossip::lendersNearby(time_point Now) const {
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  for (const auto &[Name, Vm] : Fleet.vms()) {
+    if (Now - Vm.LastHeard > Fleet.options().Bounds.VmSilence)
+      continue;
+    const bool IsNear = Vm.Region == Fleet.options().Vm.Region;
+    (IsNear ? Near : Far).push_back(Vm.GossipAddress);
+  }
+  std::vector<std::string> Chosen;
+  for (auto *Group : {&Near, &Far})
+    if (!Group->empty() && Chosen.size() < MaxLenders)
+      Chosen.push_back((*Group)[static_cast<std::size_t>(
+          Fleet.draw() * static_cast<double>(Group->size()))]);
+  return Chosen;
+}
+
+awaitable<bool> vm_gossip::borrow(workspace_name Workspace) {
+  const auto Self = shared_from_this();
+  const auto Lenders = lendersNearby(boot_clock::now());
+  for (const auto &Lender : Lenders) {
+    if (OpenQuestions.size() >= MaxOpenQuestions)
+      co_return false;
+    token_message Message;
+    Message.Question = ++LastQuestion;
+    Message.ReplyAddress = Fleet.options().Vm.GossipAddress;
+    Message.Workspace = Workspace.str();
+    Message.Tokens = TokensAsked;
+    asio::steady_timer Answered(Socket.get_executor(), LenderTimeout);
+    OpenQuestions.emplace(Message.Question, &Answered);
+    sendTo(Lender, encodeTokens(Message));
+    boost::system::error_code Error;
+    co_await Answered.async_wait(
+        asio::redirect_error(asio::use_awaitable, Error));
+    OpenQuestions.erase(Message.Question);
+    const auto Terms = termsOf(Workspace);
+    if (Terms &&
+        Fleet.quota().admitBorrowed(Workspace, *Terms, boot_clock::now()))
+      co_return true;
+  }
+  co_return false;
+}
+
+void vm_gossip::takeTokens(const token_message &Message, time_point Now) {
+  const workspace_name Workspace(Message.Workspace);
+  const auto Terms = termsOf(Workspace);
+  if (!Terms)
+    return;
+  if (Message.IsGiven) {
+    // A late answer is spent all the same: its lender has given the tokens up.
+    Fleet.quota().addBorrowed(Workspace, *Terms, Message.Tokens, Now);
+    if (const auto Found = OpenQuestions.find(Message.Question);
+        Found != OpenQuestions.end())
+      Found->second->cancel();
+    return;
+  }
+  token_message Reply = Message;
+  Reply.IsGiven = true;
+  Reply.Tokens = static_cast<float>(
+      Fleet.quota().lend(Workspace, *Terms, Message.Tokens, Now));
+  sendTo(Message.ReplyAddress, encodeTokens(Reply));
+}
+
 void vm_gossip::take(const gossip_message &Message, time_point Now) {
   if (Message.Name == Fleet.options().Vm.Name.str())
     return;
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -11,7 +11,9 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace sesamepaddle {
@@ -26,6 +28,10 @@
   /** @returns ok, or net_failure::ListenFailed */
   absl::Status start();
 
+  /** Asks VMs nearby for a token of @p Workspace.
+      @returns true when the bucket has one now */
+  awaitable<bool> borrow(workspace_name Workspace);
+
   /** Tells all VMs at once, as after a change of readiness. */
   void sendNow();
 
@@ -37,6 +43,9 @@
   void sendAll(time_point Now);
   void sendTo(const std::string &Address, const std::string &Datagram);
   void take(const gossip_message &Message, time_point Now);
+  void takeTokens(const token_message &Message, time_point Now);
+  std::vector<std::string> lendersNearby(time_point Now) const;
+  std::optional<quota_terms> termsOf(const workspace_name &Workspace) const;
   gossip_message makeMessage(time_point Now);
   std::chrono::milliseconds interval() const;
 
@@ -45,6 +54,8 @@
   asio::ip::udp::socket Socket;
   asio::steady_timer Timer;
   std::vector<gossip_crash> Crashes;
+  std::uint64_t LastQuestion = 0;
+  std::map<std::uint64_t, asio::steady_timer *> OpenQuestions;
   std::array<char, 65'536> Datagram{};
   part_log Log{"gossip"};
   bool IsStopped = false;
