--- a/include/sesamepaddle/admission/demand_quota.h
+++ b/include/sesamepaddle/admission/demand_quota.h
@@ -32,7 +32,8 @@
     published demand over that of all VMs, and a small even part. A VM uses for
     itself the demand that it published, not a newer one, so that the parts of
     all VMs add up to one once the last message has arrived. A VM that has gone
-    silent keeps its part, as it may be serving behind a cut.
+    silent may be serving behind a cut: the others leave it the part that it
+   had, and it uses no more itself.
 
     The bucket of a small part is often empty while others are full. A VM that
     would refuse for that reason borrows a token from another one, which gives
@@ -50,6 +51,10 @@
   bool isBorrowingUseful(const workspace_name &Workspace,
                          const quota_terms &Terms) const;
 
+  /** @returns how many tokens to ask another VM for: what fits the bucket. */
+  double tokensToBorrow(const workspace_name &Workspace,
+                        const quota_terms &Terms) const;
+
   /** Takes up to @p Wanted tokens out for another VM; what this VM needs itself
       stays. @returns how many */
   double lend(const workspace_name &Workspace, const quota_terms &Terms,
@@ -73,8 +78,13 @@
       @returns what to tell the others */
   workspace_demand publish(time_point Now, bool IsHeard);
 
+  /** Learns that there is another VM, which may be serving although it has not
+      been heard. */
+  void learnPeer(const std::string &Vm);
+
   /** Takes the demand of another VM. */
-  void applyPeer(const std::string &Vm, workspace_demand Demand);
+  void applyPeer(const std::string &Vm, workspace_demand Demand,
+                 time_point Now);
 
   /** Forgets a VM that has left for good. */
   void removePeer(const std::string &Vm);
@@ -93,11 +103,26 @@
     std::optional<token_bucket> Bucket;
   };
 
+  struct peer {
+    workspace_demand Demand;
+    time_point LastHeard{};
+    bool IsSilent = true;
+    std::map<std::string, double> HeldParts; ///< as of its last message
+  };
+
+  double demandPart(const std::string &Workspace, double Demand) const;
+  double heldParts(const std::string &Workspace) const;
+  std::map<std::string, double> partsOf(const workspace_demand &Demand) const;
+  void holdSilent(time_point Now, bool IsHeard);
+
   account &reshaped(const workspace_name &Workspace, const quota_terms &Terms,
                     time_point Now);
 
   std::unordered_map<std::string, account> Accounts;
-  std::map<std::string, workspace_demand> Peers;
+  std::map<std::string, peer> Peers;
+  /** This VM's own parts while no other one can hear it. */
+  std::optional<std::map<std::string, double>> OwnHeldParts;
+  std::map<std::string, double> LastHeardParts;
   time_point LastMeasured{};
 };
 
--- a/src/admission/demand_quota.cpp
+++ b/src/admission/demand_quota.cpp
@@ -11,18 +11,23 @@
 // come: it serves them until their demand is known to the others.
 constexpr double EvenPart = 0.15;
 // Time constant of the moving average of demand: long enough that a Poisson
-// stream of a few requests a second gives a steady part.
-constexpr double AverageSeconds = 2.5;
+// stream of a third of a request a second gives a steady part. Until the parts
+// follow callers that moved, tokens are borrowed.
+constexpr double AverageSeconds = 10;
 // Part of the allowed overshoot that is used up on purpose, so that requests
 // within the rate are not refused for the split; the rest covers late messages.
-constexpr double UsedOvershoot = 0.45;
+constexpr double UsedOvershoot = 0.4;
 // What a new bucket begins with, as a part of the allowed overshoot: the VM may
 // be the successor of one that has just spent its own.
 constexpr double InitialOvershoot = 0.4;
-// Tokens that a lender keeps for itself, and the share of its bucket that it
-// lends at most at a time.
-constexpr double LenderReserve = 1.0;
-constexpr double LentShare = 0.5;
+// A VM that was not heard for this long, more than two messages, is silent.
+constexpr std::chrono::milliseconds SilentAfter{1'300};
+// A VM that was silent for this long is gone, and its part goes to the others.
+constexpr std::chrono::seconds GoneAfter{60};
+// Most tokens that are borrowed at a time.
+constexpr double MostBorrowed = 3;
+// Share of its bucket that a lender gives at most at a time, beyond one token.
+constexpr double LentShare = 0.4;
 // Demand over the limit from which borrowing only moves refusals about.
 constexpr double UsefulDemand = 1.05;
 
@@ -51,20 +56,93 @@
 double demand_quota::totalDemand(const workspace_name &Workspace) const {
   const auto Own = Accounts.find(Workspace.str());
   double Total = Own == Accounts.end() ? 0 : Own->second.Published;
-  for (const auto &[Vm, Demand] : Peers)
-    if (const auto Found = Demand.find(Workspace.str()); Found != Demand.end())
+  for (const auto &[Vm, Peer] : Peers)
+    if (const auto Found = Peer.Demand.find(Workspace.str());
+        Found != Peer.Demand.end() && !Peer.IsSilent)
       Total += Found->second;
   return Total;
 }
 
+double demand_quota::heldParts(const std::string &Workspace) const {
+  const double Even = 1.0 / static_cast<double>(Peers.size() + 1);
+  double Held = 0;
+  for (const auto &[Vm, Peer] : Peers) {
+    if (!Peer.IsSilent)
+      continue;
+    const auto Found = Peer.HeldParts.find(Workspace);
+    // Of a VM that was never heard nothing is known but that it is there.
+    const bool IsKnown = Peer.LastHeard != time_point{};
+    if (Found != Peer.HeldParts.end())
+      Held += Found->second;
+    else
+      Held += IsKnown ? EvenPart * Even : Even;
+  }
+  return std::min(Held, 1.0);
+}
+
+/** @returns the part of a VM that is heard, for its demand. */
+double demand_quota::demandPart(const std::string &Workspace,
+                                double Demand) const {
+  std::size_t Heard = 1;
+  for (const auto &[Vm, Peer] : Peers)
+    Heard += Peer.IsSilent ? 0 : 1;
+  const double Even = 1.0 / static_cast<double>(Heard);
+  const double Total = totalDemand(workspace_name(Workspace));
+  // A VM that has heard no other one since its start may stand behind a cut,
+  // while the others hold what its predecessor had.
+  const bool IsAlone = Heard == 1 && !Peers.empty();
+  const bool IsUnheard =
+      IsAlone && std::all_of(Peers.begin(), Peers.end(), [](const auto &Entry) {
+        return Entry.second.LastHeard == time_point{};
+      });
+  if (IsUnheard)
+    return EvenPart / static_cast<double>(Peers.size() + 1);
+  const double Free = 1 - heldParts(Workspace);
+  return Free * (Total <= 0
+                     ? Even
+                     : EvenPart * Even + (1 - EvenPart) * Demand / Total);
+}
+
 double demand_quota::part(const workspace_name &Workspace) const {
+  if (OwnHeldParts) {
+    const auto Found = OwnHeldParts->find(Workspace.str());
+    if (Found != OwnHeldParts->end())
+      return Found->second;
+    return EvenPart / static_cast<double>(Peers.size() + 1);
+  }
   const auto Own = Accounts.find(Workspace.str());
-  const double OwnDemand = Own == Accounts.end() ? 0 : Own->second.Published;
-  const double Total = totalDemand(Workspace);
-  const double Even = 1.0 / static_cast<double>(Peers.size() + 1);
-  if (Total <= 0)
-    return Even;
-  return EvenPart * Even + (1 - EvenPart) * OwnDemand / Total;
+  return demandPart(Workspace.str(),
+                    Own == Accounts.end() ? 0 : Own->second.Published);
+}
+
+std::map<std::string, double>
+demand_quota::partsOf(const workspace_demand &Demand) const {
+  std::map<std::string, double> Parts;
+  for (const auto &[Workspace, Rate] : Demand)
+    Parts[Workspace] = demandPart(Workspace, Rate);
+  return Parts;
+}
+
+// What a silent VM keeps was fixed with its last message, and what this VM
+// keeps while it is not heard with its own last one: both sides then hold what
+// they knew at about the same moment.
+void demand_quota::holdSilent(time_point Now, bool IsHeard) {
+  std::erase_if(Peers, [Now](const auto &Entry) {
+    return Entry.second.LastHeard != time_point{} &&
+           Now - Entry.second.LastHeard > GoneAfter;
+  });
+  for (auto &[Vm, Peer] : Peers)
+    Peer.IsSilent = Now - Peer.LastHeard > SilentAfter;
+  if (IsHeard)
+    OwnHeldParts.reset();
+  else if (!OwnHeldParts && !Peers.empty()) {
+    // The lesser of then and now: what the others told in the same moment as
+    // this VM's last message is known only since.
+    auto Held = LastHeardParts;
+    for (auto &[Workspace, Part] : Held)
+      Part = std::min(Part, part(workspace_name(Workspace)));
+    OwnHeldParts = std::move(Held);
+  }
 }
 
 demand_quota::account &demand_quota::reshaped(const workspace_name &Workspace,
@@ -102,14 +180,19 @@
          totalDemand(Workspace) < UsefulDemand * Terms.RatePerSecond;
 }
 
+double demand_quota::tokensToBorrow(const workspace_name &Workspace,
+                                    const quota_terms &Terms) const {
+  const double Depth = shapeOf(Terms, part(Workspace)).Depth;
+  return std::clamp(std::floor(Depth / 2), 1.0, MostBorrowed);
+}
+
 double demand_quota::lend(const workspace_name &Workspace,
                           const quota_terms &Terms, double Wanted,
                           time_point Now) {
   auto &Bucket = *reshaped(Workspace, Terms, Now).Bucket;
-  const double Spare = Bucket.available(Now) - LenderReserve;
-  const double Most = std::max(1.0, Spare * LentShare);
+  const double Most = std::max(1.0, Bucket.available(Now) * LentShare);
   const double Lent = std::floor(std::min(Wanted, Most));
-  return Spare >= 1 && Bucket.tryTake(Lent, Now) ? Lent : 0;
+  return Bucket.tryTake(Lent, Now) ? Lent : 0;
 }
 
 void demand_quota::addBorrowed(const workspace_name &Workspace,
@@ -131,6 +214,7 @@
   const double Elapsed = secondsBetween(LastMeasured, Now);
   const bool IsFirst = LastMeasured == time_point{};
   LastMeasured = Now;
+  holdSilent(Now, IsHeard);
   workspace_demand Published;
   for (auto &[Name, Account] : Accounts) {
     if (!IsFirst && Elapsed > 0) {
@@ -144,11 +228,18 @@
     if (Account.Published > 0)
       Published[Name] = Account.Published;
   }
+  if (IsHeard)
+    LastHeardParts = partsOf(Published);
   return Published;
 }
 
-void demand_quota::applyPeer(const std::string &Vm, workspace_demand Demand) {
-  Peers[Vm] = std::move(Demand);
+void demand_quota::learnPeer(const std::string &Vm) { Peers.try_emplace(Vm); }
+
+void demand_quota::applyPeer(const std::string &Vm, workspace_demand Demand,
+                             time_point Now) {
+  auto &Peer = Peers[Vm];
+  Peer = {std::move(Demand), Now, false, {}};
+  Peer.HeldParts = partsOf(Peer.Demand);
 }
 
 void demand_quota::removePeer(const std::string &Vm) { Peers.erase(Vm); }
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -84,6 +84,7 @@
 void fleet_state::learnVm(known_vm Vm) {
   if (Vm.Name == Options.Vm.Name || Vms.contains(Vm.Name))
     return;
+  Quota.learnPeer(Vm.Name.str());
   Vms.emplace(Vm.Name, std::move(Vm));
 }
 
@@ -140,7 +141,7 @@
     std::string Address;
   };
   const auto DistanceOf = [&](const region_name &VmRegion,
-                            const failure_domain_name &VmDomain) {
+                              const failure_domain_name &VmDomain) {
     if (VmDomain == Domain)
       return 0;
     return VmRegion == Region ? 1 : 2;
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -413,9 +413,9 @@
                 "request id=", Pass.RequestId, " status=", Reply.Status,
                 " reason=", Pass.Reason, " route=", Route, " version=",
                 Pass.Configuration ? Pass.Configuration->version() : 0,
-                " service=", Pass.Service.str(), " workspace=", Workspace, " endpoint=", Pass.Endpoint,
-                " attempts=", Pass.Arrivals, " unreached=", Pass.Unreached,
-                " ms=", toMilliseconds(Took),
+                " service=", Pass.Service.str(), " workspace=", Workspace,
+                " endpoint=", Pass.Endpoint, " attempts=", Pass.Arrivals,
+                " unreached=", Pass.Unreached, " ms=", toMilliseconds(Took),
                 " object=", toAbsl(findHeader(Message.Headers, Fields.Object))),
             boot_clock::now());
   co_return Reply;
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -27,10 +27,9 @@
 constexpr std::size_t MaxCrashes = 16;
 // Lenders that are asked one after the other for one request, and how long each
 // has: two ways between regions and a turn of its processor.
-constexpr std::size_t MaxLenders = 2;
+constexpr std::size_t MaxLendersNear = 3;
+constexpr std::size_t MaxLendersFar = 3;
 constexpr milliseconds LenderTimeout{30};
-// Tokens asked for at a time, so that the next request finds one.
-constexpr float TokensAsked = 3;
 constexpr std::size_t MaxOpenQuestions = 64;
 
 std::optional<asio::ip::udp::endpoint> parseUdp(const std::string &Address) {
@@ -86,8 +85,8 @@
     return makeFailure(net_failure::ListenFailed,
                        absl::StrCat(Address, ": ", Error.message()));
   const auto Self = shared_from_this();
-  Path.Borrow = [Weak = weak_from_this()](
-                    workspace_name Workspace) -> awaitable<bool> {
+  Path.Borrow =
+      [Weak = weak_from_this()](workspace_name Workspace) -> awaitable<bool> {
     const auto Gossip = Weak.lock();
     if (!Gossip)
       co_return false;
@@ -230,12 +229,18 @@
     const bool IsNear = Vm.Region == Fleet.options().Vm.Region;
     (IsNear ? Near : Far).push_back(Vm.GossipAddress);
   }
-  std::vector<std::string> Chosen;
-  for (auto *Group : {&Near, &Far})
-    if (!Group->empty() && Chosen.size() < MaxLenders)
-      Chosen.push_back((*Group)[static_cast<std::size_t>(
-          Fleet.draw() * static_cast<double>(Group->size()))]);
-  return Chosen;
+  const auto Shorten = [this](std::vector<std::string> &Group,
+                              std::size_t Most) {
+    for (std::size_t Index = Group.size(); Index > 1; --Index)
+      std::swap(Group[Index - 1],
+                Group[static_cast<std::size_t>(Fleet.draw() *
+                                               static_cast<double>(Index))]);
+    Group.resize(std::min(Group.size(), Most));
+  };
+  Shorten(Near, MaxLendersNear);
+  Shorten(Far, MaxLendersFar);
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
 }
 
 awaitable<bool> vm_gossip::borrow(workspace_name Workspace) {
@@ -248,7 +253,11 @@
     Message.Question = ++LastQuestion;
     Message.ReplyAddress = Fleet.options().Vm.GossipAddress;
     Message.Workspace = Workspace.str();
-    Message.Tokens = TokensAsked;
+    const auto Limit = termsOf(Workspace);
+    if (!Limit)
+      co_return false;
+    Message.Tokens =
+        static_cast<float>(Fleet.quota().tokensToBorrow(Workspace, *Limit));
     asio::steady_timer Answered(Socket.get_executor(), LenderTimeout);
     OpenQuestions.emplace(Message.Question, &Answered);
     sendTo(Lender, encodeTokens(Message));
@@ -305,7 +314,7 @@
   Vm.LastHeard = Now;
   Fleet.applyVm(Vm);
   workspace_demand Demand(Message.Demand.begin(), Message.Demand.end());
-  Fleet.quota().applyPeer(Message.Name, std::move(Demand));
+  Fleet.quota().applyPeer(Message.Name, std::move(Demand), Now);
   for (const auto &Rollout : Message.Rollouts) {
     const auto Found = Fleet.rollouts().find(service_name(Rollout.Service));
     if (Found != Fleet.rollouts().end() &&
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -1,6 +1,7 @@
 #include "sesamepaddle/moves/fleet_rollout.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sesamepaddle {
 
@@ -26,10 +27,12 @@
 // Answers of the new version, of all VMs, below which it is not judged good.
 constexpr std::size_t LeastSamples = 8;
 // A version is bad with this many bad answers on a route, when they are this
-// share of its answers there and twice the share of the old version's.
+// share of its answers there, and more by so many standard deviations than with
+// the old version's share of bad answers, which is taken for at least the last.
 constexpr std::uint32_t LeastBad = 5;
 constexpr double BadShare = 0.2;
-constexpr double WorseThanOld = 2.0;
+constexpr double Deviations = 3.5;
+constexpr double LeastUsualShare = 0.02;
 
 double shareOf(std::uint32_t Part, std::uint32_t Rest) {
   return Part + Rest == 0 ? 0 : static_cast<double>(Part) / (Part + Rest);
@@ -49,19 +52,22 @@
 
 rollout_counts difference(const rollout_counts &Now,
                           const rollout_counts &Before) {
-  return {lessOf(Now.NewGood, Before.NewGood), lessOf(Now.NewBad, Before.NewBad),
-          lessOf(Now.OldGood, Before.OldGood),
-          lessOf(Now.OldBad, Before.OldBad)};
+  return {
+      lessOf(Now.NewGood, Before.NewGood), lessOf(Now.NewBad, Before.NewBad),
+      lessOf(Now.OldGood, Before.OldGood), lessOf(Now.OldBad, Before.OldBad)};
 }
 
 /** @param Since  all answers since the order: with all traffic at the new
                   version, the old one has no latest ones to compare with */
 bool isWorse(const rollout_counts &Counts, const rollout_counts &Since) {
   const double New = shareOf(Counts.NewBad, Counts.NewGood);
-  const double Old = std::max(shareOf(Counts.OldBad, Counts.OldGood),
-                              shareOf(Since.OldBad, Since.OldGood));
+  const double Old = std::clamp(std::max(shareOf(Counts.OldBad, Counts.OldGood),
+                                         shareOf(Since.OldBad, Since.OldGood)),
+                                LeastUsualShare, 1.0);
+  const double Answers = Counts.NewBad + Counts.NewGood;
+  const double Deviation = std::sqrt(Answers * Old * (1 - Old));
   return Counts.NewBad >= LeastBad && New >= BadShare &&
-         New >= WorseThanOld * Old;
+         Counts.NewBad >= Answers * Old + Deviations * Deviation;
 }
 
 } // namespace
@@ -126,9 +132,8 @@
   rollout_counts AllLatest;
   for (const auto &[Route, Counts] : Sum) {
     const auto Before = Earlier.find(Route);
-    const auto Latest = Before == Earlier.end()
-                            ? Counts
-                            : difference(Counts, Before->second);
+    const auto Latest =
+        Before == Earlier.end() ? Counts : difference(Counts, Before->second);
     if (isWorse(Counts, Counts) || isWorse(Latest, Counts))
       return true;
     add(All, Counts);
--- /dev/null
+++ b/tests/placing/placement_test.cpp
@@ -0,0 +1,214 @@
+#include "sesamepaddle/placing/placement.h"
+#include "sesamepaddle/steering/rendezvous.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+
+using namespace sesamepaddle;
+using std::chrono::milliseconds;
+
+namespace {
+
+const service_name Orders("orders");
+const time_point Start = time_point(std::chrono::hours(1));
+
+endpoint_record makeRecord(int Number, std::string Region) {
+  endpoint_record Record;
+  Record.Id = endpoint_id("i-" + std::to_string(Number));
+  Record.Address = "10.0.0." + std::to_string(Number) + ":80";
+  Record.Service = Orders;
+  Record.Version = version_name("v1");
+  Record.Region = region_name(Region);
+  Record.FailureDomain = failure_domain_name(Region + "-a");
+  Record.Slots = 3;
+  Record.StartedAt = 1;
+  return Record;
+}
+
+/** Six endpoints in two regions. */
+struct fleet {
+  fleet() {
+    for (int Number = 0; Number < 6; ++Number)
+      Registry.apply(makeRecord(Number, Number < 3 ? "lima" : "trujillo"),
+                     Start);
+  }
+
+  endpoint_pointer place(std::string_view Object, time_point Now = Start) {
+    placement_request Request;
+    Request.ObjectHash = stableHash(Object);
+    Request.CallerRegion = region_name("lima");
+    Request.RouteHomes = Homes;
+    return placeRequest(Registry.of(Orders), Request, Limits, {}, Now).Endpoint;
+  }
+
+  std::map<std::string, std::string> placeAll() {
+    std::map<std::string, std::string> Placed;
+    for (int Object = 0; Object < 100; ++Object) {
+      const auto Name = std::to_string(Object);
+      if (const auto Endpoint = place(Name))
+        Placed[Name] = Endpoint->Record.Id.str();
+    }
+    return Placed;
+  }
+
+  endpoint_registry Registry;
+  placement_limits Limits;
+  std::vector<region_name> Homes;
+};
+
+} // namespace
+
+TEST_CASE("each object has one endpoint") {
+  fleet Fleet;
+  const auto Before = Fleet.placeAll();
+  REQUIRE(Before.size() == 100);
+  CHECK(Fleet.placeAll() == Before);
+
+  SUBCASE("most objects stay in their caller's region") {
+    int Near = 0;
+    for (const auto &[Object, Id] : Before)
+      Near +=
+          Fleet.Registry.find(endpoint_id(Id))->Record.Region.str() == "lima";
+    CHECK(Near > 70);
+    CHECK(Near < 100);
+  }
+
+  SUBCASE("when an endpoint leaves, only its objects move") {
+    auto Leaving = makeRecord(1, "lima");
+    Leaving.IsLeaving = true;
+    Fleet.Registry.apply(Leaving, Start);
+    for (const auto &[Object, Id] : Fleet.placeAll()) {
+      CHECK(Id != "i-1");
+      if (Before.at(Object) != "i-1")
+        CHECK(Id == Before.at(Object));
+    }
+  }
+
+  SUBCASE("a full endpoint passes its objects on to the next in order") {
+    const auto First = Fleet.place("7");
+    First->InFlight = 5;
+    const auto Second = Fleet.place("7");
+    CHECK(Second != First);
+    CHECK(Fleet.place("7") == Second);
+    First->InFlight = 0;
+    CHECK(Fleet.place("7") == First);
+  }
+
+  SUBCASE("an endpoint that can't be reached is passed over for a time") {
+    const auto First = Fleet.place("7");
+    First->addFailure(Start);
+    CHECK(Fleet.place("7") != First);
+    CHECK(Fleet.place("7", Start + milliseconds(300)) == First);
+  }
+}
+
+TEST_CASE("some endpoints get nothing") {
+  fleet Fleet;
+
+  SUBCASE("those of an evacuated failure domain") {
+    Fleet.Limits.EvacuatedDomains = {failure_domain_name("lima-a")};
+    for (const auto &[Object, Id] : Fleet.placeAll())
+      CHECK(Fleet.Registry.find(endpoint_id(Id))->Record.Region.str() ==
+            "trujillo");
+  }
+
+  SUBCASE("those outside of the homes") {
+    Fleet.Homes = {region_name("trujillo")};
+    for (const auto &[Object, Id] : Fleet.placeAll())
+      CHECK(Fleet.Registry.find(endpoint_id(Id))->Record.Region.str() ==
+            "trujillo");
+    Fleet.Homes = {region_name("arequipa")};
+    CHECK(Fleet.place("7") == nullptr);
+  }
+
+  SUBCASE("those at whose address another one answers") {
+    const auto First = Fleet.place("7");
+    First->IsDisowned = true;
+    CHECK(Fleet.place("7") != First);
+  }
+
+  SUBCASE("an endpoint that starts again under its id is another one") {
+    const auto First = Fleet.place("7");
+    First->IsDisowned = true;
+    auto Record = First->Record;
+    Record.StartedAt = 2;
+    Fleet.Registry.apply(Record, Start);
+    REQUIRE(Fleet.place("7") != nullptr);
+    CHECK(Fleet.place("7")->Record.Id == Record.Id);
+
+    SUBCASE("and a late record of its former life changes nothing") {
+      Record.StartedAt = 1;
+      Record.IsLeaving = true;
+      CHECK(Fleet.Registry.apply(Record, Start) == "stale");
+      CHECK(Fleet.place("7")->Record.Id == Record.Id);
+    }
+  }
+}
+
+TEST_CASE("rows that lapsed while the store was away") {
+  fleet Fleet;
+  const endpoint_id Id("i-1");
+  const auto Until = Start + milliseconds(2'000);
+  Fleet.Registry.remove(Id, Until);
+
+  SUBCASE("leave their endpoint in use until it must be back") {
+    Fleet.Registry.expire(Start + milliseconds(1'900));
+    CHECK(Fleet.Registry.find(Id) != nullptr);
+  }
+  SUBCASE("take it away when it is not") {
+    Fleet.Registry.expire(Until);
+    CHECK(Fleet.Registry.find(Id) == nullptr);
+  }
+  SUBCASE("are forgotten when it is back") {
+    Fleet.Registry.apply(makeRecord(1, "lima"), Start);
+    Fleet.Registry.expire(Until);
+    CHECK(Fleet.Registry.find(Id) != nullptr);
+  }
+  SUBCASE("don't keep one that was leaving") {
+    auto Leaving = makeRecord(2, "lima");
+    Leaving.IsLeaving = true;
+    Fleet.Registry.apply(Leaving, Start);
+    Fleet.Registry.remove(Leaving.Id, Until);
+    CHECK(Fleet.Registry.find(Leaving.Id) == nullptr);
+  }
+}
+
+TEST_CASE("all VMs together send a cold endpoint no more than it tolerates") {
+  // The users' bound: the tolerated rate times 1.5, and 5 more, in any second.
+  constexpr double Tolerated = 4.4;
+  constexpr double MostInSecond = Tolerated * 1.5 + 5;
+  const bool Holds = rc::check("cold sends in any second", [&] {
+    const auto Vms = *rc::gen::inRange<std::size_t>(1, 40);
+    std::vector<fleet> Fleets(Vms);
+    for (std::size_t Rank = 0; Rank < Vms; ++Rank) {
+      Fleets[Rank].Limits.ColdRequestsPerSecond = Tolerated;
+      Fleets[Rank].Limits.Vms = Vms;
+      Fleets[Rank].Limits.VmRank = Rank;
+      for (const auto &Endpoint : Fleets[Rank].Registry.of(Orders))
+        Endpoint->ColdUntil = Start + std::chrono::seconds(3);
+    }
+    std::map<std::string, std::vector<time_point>> Sends;
+    const auto Steps =
+        *rc::gen::container<std::vector<std::pair<std::size_t, int>>>(
+            300, rc::gen::pair(rc::gen::inRange<std::size_t>(0, Vms),
+                               rc::gen::inRange(0, 20)));
+    auto Now = Start;
+    for (const auto &[Vm, Pause] : Steps) {
+      Now += milliseconds(Pause);
+      if (const auto Endpoint = Fleets[Vm].place(std::to_string(Pause), Now))
+        Sends[Endpoint->Record.Id.str()].push_back(Now);
+    }
+    for (const auto &[Id, Times] : Sends)
+      for (std::size_t First = 0; First < Times.size(); ++First) {
+        std::size_t Count = 0;
+        while (First + Count < Times.size() &&
+               Times[First + Count] - Times[First] < std::chrono::seconds(1))
+          ++Count;
+        RC_ASSERT(static_cast<double>(Count) <= MostInSecond);
+      }
+  });
+  CHECK(Holds);
+}
