--- a/include/sesamepaddle/ingress/ingress_node.h
+++ b/include/sesamepaddle/ingress/ingress_node.h
@@ -35,6 +35,9 @@
       may still come, then calls @p Done. */
   void drain(std::function<void()> Done);
 
+  /** @returns the address that callers connect to. */
+  tcp::endpoint callerEndpoint() const;
+
   /** @returns what the node knows; for the pool's first worker alone. */
   fleet_state &fleet();
 
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -78,6 +78,8 @@
 
   fleet_state &fleet() { return Fleet; }
 
+  tcp::endpoint callerEndpoint() const { return Acceptor.local_endpoint(); }
+
 private:
   absl::Status listen(const std::string &Address) {
     const auto Endpoint = parseEndpoint(Address);
@@ -253,6 +255,10 @@
   Implementation->drain(std::move(Done));
 }
 
+tcp::endpoint ingress_node::callerEndpoint() const {
+  return Implementation->callerEndpoint();
+}
+
 fleet_state &ingress_node::fleet() { return Implementation->fleet(); }
 
 } // namespace sesamepaddle
--- /dev/null
+++ b/tests/adapter/row_codec_test.cpp
@@ -0,0 +1,152 @@
+#include "platform/platform_settings.h"
+#include "platform/row_codec.h"
+#include "platform/store_client.h"
+
+#include <doctest/doctest.h>
+
+using namespace sesamepaddle;
+using namespace sesamepaddle::adapter;
+
+namespace {
+
+const region_map Regions = {{"lima-a", "lima"}};
+
+constexpr std::string_view Endpoint =
+    R"({"address":"10.128.0.9:8080","born":1234,
+        "information":{"service":"s1","version":"v1","zone":"lima-a","slots":5},
+        "status":{"state":"ready","sequence":4,"coldRemainingS":1.5}})";
+
+std::string replaced(std::string_view Text, std::string_view What,
+                     std::string_view By) {
+  std::string Copy(Text);
+  const auto Start = Copy.find(What);
+  REQUIRE(Start != std::string::npos);
+  return Copy.replace(Start, What.size(), By);
+}
+
+} // namespace
+
+TEST_CASE("what an endpoint writes of itself") {
+  const auto Record = decodeEndpoint("i-1", Endpoint, Regions);
+  REQUIRE(Record.ok());
+  CHECK(Record->Id.str() == "i-1");
+  CHECK(Record->Region.str() == "lima");
+  CHECK(Record->Slots == 5);
+  CHECK(Record->StartedAt == 1234);
+  CHECK(Record->ColdRemaining == std::chrono::milliseconds(1'500));
+  CHECK_FALSE(Record->IsLeaving);
+
+  SUBCASE("it leaves") {
+    const auto Leaving =
+        decodeEndpoint("i-1", replaced(Endpoint, "ready", "draining"), Regions);
+    REQUIRE(Leaving.ok());
+    CHECK(Leaving->IsLeaving);
+  }
+
+  SUBCASE("names no endpoint when it can't be read") {
+    for (const auto &Text :
+         {std::string("\xff\xfe"), std::string("[]"), std::string("{}"),
+          replaced(Endpoint, "\"slots\":5", "\"slots\":\"five\""),
+          replaced(Endpoint, "\"ready\"", "\"resting\""),
+          replaced(Endpoint, "\"lima-a\"", "\"cusco-a\""),
+          replaced(Endpoint, "\"address\"", "\"addr\"")}) {
+      CAPTURE(Text);
+      const auto Unreadable = decodeEndpoint("i-1", Text, Regions);
+      CHECK(isFailure(Unreadable.status(), store_failure::MalformedAnswer));
+    }
+  }
+}
+
+TEST_CASE("the operator's configuration") {
+  const auto Content = decodeConfiguration(
+      R"({"version":7,"services":[{"name":"s1","coldStartS":3.0,"coldPerS":4.4,
+           "connectionLimit":360},{"name":"s2"}],
+          "limits":{"headerBytes":1000,"bodyBytes":2000,"headerTimeoutS":3,
+           "idleTimeoutS":0.5},
+          "tenants":[{"name":"t1","apiKeys":["k1"],"priority":1,"ratePerS":99,
+           "burst":9,"homeRegions":["lima"]}],
+          "hosts":[{"host":"h.example","paths":[{"name":"r1","prefix":"/a/",
+           "kind":"safe","timeoutS":1,"targetLatencyS":0.4,"priority":2,
+           "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+           "maxAttempts":2,"public":false,"sticky":true,"homeRegions":[]},
+           {"name":"r2","prefix":"/b/","kind":"other","timeoutS":1.2,
+           "service":"s2"}]}]})");
+  REQUIRE(Content.ok());
+  CHECK(Content->Version == 7);
+  CHECK(Content->Limits.IdleTimeout == std::chrono::milliseconds(500));
+  const auto &Routes = Content->RoutesByHost.at("h.example");
+  REQUIRE(Routes.size() == 2);
+  CHECK(Routes[0].Services.size() == 2);
+  CHECK(Routes[0].Kind == request_kind::Idempotent);
+
+  SUBCASE("a kind that is not known is not repeated") {
+    CHECK(Routes[1].Kind == request_kind::AtMostOnce);
+  }
+  SUBCASE("one that is cut short is refused with a type") {
+    CHECK(isFailure(decodeConfiguration(R"({"version":7,"hosts":[)").status(),
+                    store_failure::MalformedAnswer));
+  }
+}
+
+TEST_CASE("the state of a rollout survives the way through the store") {
+  rollout_status Status;
+  Status.To = "v2";
+  Status.SinceStoreSeconds = 12.5;
+  Status.Outcome = rollout_outcome::RolledBack;
+  const auto Read = decodeRolloutStatus(encodeRolloutStatus(Status));
+  REQUIRE(Read.ok());
+  CHECK(Read->To == "v2");
+  CHECK(Read->Outcome == rollout_outcome::RolledBack);
+  CHECK(Read->SinceStoreSeconds == doctest::Approx(12.5));
+}
+
+TEST_CASE("rows of the store") {
+  bool HasMore = false;
+  const auto Rows = parseRows(
+      R"({"rows":[{"table":"op","part":"","key":"a","value":"aGk=",
+          "schemaVersion":5},{"key":"b","removed":true,"schemaVersion":6},
+          {"key":"c","value":"%%","schemaVersion":7}],
+          "hasMore":true,"schemaVersion":9,"currentTimeS":1.5})",
+      &HasMore);
+  REQUIRE(Rows.ok());
+  CHECK(HasMore);
+  CHECK(Rows->Revision == 9);
+  REQUIRE(Rows->Rows.size() == 3);
+  CHECK(Rows->Rows[0].Value == "hi");
+  CHECK_FALSE(Rows->Rows[1].Value);
+
+  SUBCASE("a value that can't be decoded is there, but empty") {
+    CHECK(Rows->Rows[2].Value == "");
+  }
+  SUBCASE("an answer that is none has a type") {
+    CHECK(isFailure(parseRows("nope", nullptr).status(),
+                    store_failure::MalformedAnswer));
+  }
+}
+
+TEST_CASE("settings that the platform filled in") {
+  const std::string Text = R"(
+vm: { name: "front-1", region: "lima", failure_domain: "lima-a", memory_megabytes: 260 }
+addresses: { callers: "10.1.0.4:8346", readiness: "10.1.0.4:8340", directory: "10.1.0.4:8344",
+  first_peer_port: 7000, metrics_port: 9464, seeds: ["10.1.0.5:8342"] }
+store: "10.200.1.7:8341"
+failure_domains:
+  - name: lima-a
+    region: "lima"
+bounds: { grace_seconds: 6, retry_ratio: 0.2, retry_window_seconds: 10, retry_slack: 60,
+  quota_window_seconds: 5, quota_overshoot: 0.1, quota_slack: 20, rollout_share: 0.1,
+  rollout_slack: 50 }
+)";
+  yaml_errors Errors;
+  const auto Settings = parsePlatformSettings(Text, "vm.yaml", Errors);
+  REQUIRE(Settings);
+  CHECK(Settings->Ingress.Vm.GossipAddress == "10.1.0.4:7000");
+  CHECK(Settings->Ingress.Vm.SeedGossipAddresses ==
+        std::vector<std::string>{"10.1.0.5:7000"});
+  CHECK(Settings->Regions.at("lima-a") == "lima");
+
+  SUBCASE("all mistakes are found at once") {
+    CHECK_FALSE(parsePlatformSettings("vm: { name: 1 }", "vm.yaml", Errors));
+    CHECK(Errors.size() > 5);
+  }
+}
--- /dev/null
+++ b/tests/ingress/answers_test.cpp
@@ -0,0 +1,263 @@
+#include "ingress/ingress_bed.h"
+
+#include <doctest/doctest.h>
+
+using namespace sesamepaddle;
+using std::chrono::milliseconds;
+
+namespace {
+
+bool isStatus(const std::string &Reply, int Status) {
+  return Reply.starts_with("HTTP/1.1 " + std::to_string(Status) + " ");
+}
+
+scripted_answer answerWhole(const std::string &Request) {
+  return {makeAnswer(Request, "whole"), "", false, false, milliseconds(0)};
+}
+
+} // namespace
+
+TEST_CASE("a request goes to an endpoint and its answer comes back") {
+  ingress_bed Bed({answerWhole});
+  const auto Reply = Bed.post("/orders/1?x=2", "r1", "cloth");
+  CHECK(isStatus(Reply, 200));
+  CHECK(Reply.ends_with("\r\n\r\nwhole"));
+  REQUIRE(Bed.endpoint(0).requests().size() == 1);
+  const auto Request = Bed.endpoint(0).requests()[0];
+  CHECK(Request.starts_with("POST /orders/1?x=2 HTTP/1.1\r\n"));
+  CHECK(Request.ends_with("\r\n\r\ncloth"));
+
+  SUBCASE("with its workspace and the expected endpoint, without its key") {
+    CHECK(fieldOf(Request, "Workspace") == "bakery");
+    CHECK(fieldOf(Request, "Expected") == "i-0");
+    CHECK(Request.find("k1") == std::string::npos);
+  }
+
+  SUBCASE("a workspace that the caller claims is replaced") {
+    Bed.get("/checks/1", "r2", "Key: k1\r\nWorkspace: other\r\n");
+    CHECK(fieldOf(Bed.endpoint(0).requests()[1], "Workspace") == "bakery");
+  }
+
+  SUBCASE("unknown keys, routes and requests without an id go nowhere") {
+    CHECK(isStatus(Bed.get("/checks/1", "r2", "Key: k2\r\n"), 401));
+    CHECK(isStatus(Bed.get("/checks/1", "r2", ""), 401));
+    CHECK(isStatus(Bed.get("/other/1", "r2"), 404));
+    CHECK(isStatus(Bed.exchange("GET /checks/1 HTTP/1.1\r\nHost: shop.example"
+                                "\r\nKey: k1\r\nConnection: close\r\n\r\n"),
+                   400));
+    CHECK(Bed.endpoint(0).requests().size() == 1);
+  }
+
+  SUBCASE("a request inside another one is not passed on") {
+    const auto Smuggled = Bed.exchange(
+        "POST /checks/1 HTTP/1.1\r\nHost: shop.example\r\nId: r2\r\nKey: k1\r\n"
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        "GET /orders/9 HTTP/1.1\r\nHost: shop.example\r\nId: r3\r\n"
+        "Key: k1\r\n\r\n");
+    CHECK(isStatus(Smuggled, 400));
+    CHECK(Bed.endpoint(0).requests().size() == 1);
+  }
+}
+
+TEST_CASE("an answer that is not whole is not passed on") {
+  SUBCASE("cut short") {
+    ingress_bed Bed({[](const std::string &Request) {
+      auto Bytes = makeAnswer(Request, "whole");
+      Bytes.resize(Bytes.size() - 2);
+      return scripted_answer{Bytes, "", true, false, milliseconds(0)};
+    }});
+    CHECK(isStatus(Bed.post("/orders/1", "r1", "x"), 502));
+    CHECK(Bed.endpoint(0).requests().size() == 1);
+  }
+
+  SUBCASE("reset while the request ran") {
+    ingress_bed Bed({[](const std::string &) {
+      return scripted_answer{"", "", false, true, milliseconds(0)};
+    }});
+    CHECK(isStatus(Bed.post("/orders/1", "r1", "x"), 502));
+    CHECK(Bed.endpoint(0).requests().size() == 1);
+  }
+
+  SUBCASE("a success without the endpoint's proof") {
+    ingress_bed Bed({[](const std::string &Request) {
+      return scripted_answer{
+          "HTTP/1.1 200 OK\r\nId: " + fieldOf(Request, "Id") +
+              "\r\nContent-Length: 0\r\n\r\n",
+          "", false, false, milliseconds(0)};
+    }});
+    CHECK(isStatus(Bed.post("/orders/1", "r1", "x"), 502));
+  }
+
+  SUBCASE("bytes that are no answer") {
+    ingress_bed Bed({[](const std::string &) {
+      return scripted_answer{"garbage\r\n\r\n", "", false, false,
+                             milliseconds(0)};
+    }});
+    CHECK(isStatus(Bed.post("/orders/1", "r1", "x"), 502));
+  }
+
+  SUBCASE("one without a length that ends with its connection is whole") {
+    ingress_bed Bed({[](const std::string &Request) {
+      return scripted_answer{"HTTP/1.1 200 OK\r\nProof: p\r\nId: " +
+                                 fieldOf(Request, "Id") + "\r\n\r\nunframed",
+                             "", true, false, milliseconds(0)};
+    }});
+    const auto Reply = Bed.get("/checks/1", "r1");
+    CHECK(isStatus(Reply, 200));
+    CHECK(Reply.ends_with("unframed"));
+  }
+}
+
+TEST_CASE("a second answer meets nobody") {
+  const auto Twice = [](milliseconds) {
+    return [](const std::string &Request) {
+      const auto Bytes = makeAnswer(Request, "of " + fieldOf(Request, "Id"));
+      return scripted_answer{Bytes, Bytes, false, false, milliseconds(0)};
+    };
+  };
+
+  SUBCASE("that comes late, before or with the next request") {
+    ingress_bed Bed({Twice(milliseconds(30))});
+    for (int Request = 0; Request < 20; ++Request) {
+      const auto Id = "r" + std::to_string(Request);
+      const auto Reply = Bed.get("/checks/1", Id);
+      CHECK(isStatus(Reply, 200));
+      CHECK(Reply.ends_with("of " + Id));
+      std::this_thread::sleep_for(milliseconds(Request % 4 * 12));
+    }
+  }
+
+  SUBCASE("that lies in front of the right one") {
+    ingress_bed Bed({[](const std::string &Request) {
+      const auto Foreign =
+          makeAnswer("GET / HTTP/1.1\r\nId: other\r\n\r\n", "of another");
+      return scripted_answer{Foreign + makeAnswer(Request, "mine"), "", false,
+                             false, milliseconds(0)};
+    }});
+    CHECK(Bed.get("/checks/1", "r1").ends_with("mine"));
+  }
+}
+
+TEST_CASE("what an endpoint did not run is sent elsewhere") {
+  const auto Shed = [](const std::string &Request) {
+    return scripted_answer{
+        makeAnswer(Request, "", "503 Service Unavailable", "Not-Run: 1\r\n"),
+        "", false, false, milliseconds(0)};
+  };
+
+  SUBCASE("also a request that must not run twice") {
+    ingress_bed Bed({Shed, answerWhole});
+    for (int Object = 0; Object < 6; ++Object)
+      CHECK(isStatus(Bed.post("/orders/1", "r" + std::to_string(Object), "x"),
+                     200));
+    CHECK(Bed.endpoint(1).requests().size() == 6);
+  }
+
+  SUBCASE("and when all refuse, the caller hears that it has not run") {
+    ingress_bed Bed({Shed, Shed});
+    const auto Reply = Bed.post("/orders/1", "r1", "x");
+    CHECK(isStatus(Reply, 503));
+    CHECK_FALSE(fieldOf(Reply, "Retry-After").empty());
+  }
+
+  SUBCASE("an address that another endpoint has got is not asked again") {
+    ingress_bed Bed({[](const std::string &Request) {
+                       return scripted_answer{
+                           makeAnswer(Request, "", "421 Misdirected Request"),
+                           "", false, false, milliseconds(0)};
+                     },
+                     answerWhole});
+    for (int Request = 0; Request < 6; ++Request)
+      CHECK(isStatus(Bed.post("/orders/1", "r" + std::to_string(Request), "x"),
+                     200));
+    CHECK(Bed.endpoint(0).requests().size() <= 1);
+  }
+}
+
+TEST_CASE("what may have run is repeated only where it may be") {
+  const auto Lose = [](const std::string &) {
+    return scripted_answer{"", "", false, true, milliseconds(0)};
+  };
+  ingress_bed Bed({Lose, Lose, Lose});
+  const auto Arrivals = [&] {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      Count += Bed.endpoint(Index).requests().size();
+    return Count;
+  };
+
+  SUBCASE("an order is sent once and its outcome is unknown") {
+    CHECK(isStatus(Bed.post("/orders/1", "r1", "x"), 502));
+    CHECK(Arrivals() == 1);
+  }
+  SUBCASE("a check is sent as often as its route allows") {
+    CHECK(isStatus(Bed.get("/checks/1", "r1"), 502));
+    CHECK(Arrivals() == 2);
+  }
+}
+
+TEST_CASE("time and callers run out") {
+  const auto Slow = [](const std::string &Request) {
+    auto Answer = answerWhole(Request);
+    Answer.Delay = milliseconds(2'000);
+    return Answer;
+  };
+
+  SUBCASE("a request gets its final answer at its route's timeout") {
+    ingress_bed Bed({Slow});
+    const auto Start = boot_clock::now();
+    CHECK(isStatus(Bed.get("/checks/1", "r1"), 504));
+    const auto Took = boot_clock::now() - Start;
+    CHECK(Took >= milliseconds(700));
+    CHECK(Took < milliseconds(1'900));
+  }
+
+  SUBCASE("what its caller has left is cancelled at the endpoint") {
+    ingress_bed Bed({Slow});
+    Bed.exchange("GET /checks/1 HTTP/1.1\r\nHost: shop.example\r\nId: r1\r\n"
+                 "Key: k1\r\n\r\n",
+                 milliseconds(100));
+    const auto Start = boot_clock::now();
+    while (Bed.endpoint(0).abandoned() == 0 &&
+           boot_clock::now() - Start < ingress_bed::LongWait)
+      std::this_thread::sleep_for(milliseconds(10));
+    CHECK(Bed.endpoint(0).abandoned() == 1);
+  }
+}
+
+TEST_CASE("a VM that leaves cuts nothing") {
+  ingress_bed Bed({[](const std::string &Request) {
+    auto Answer = answerWhole(Request);
+    Answer.Delay = milliseconds(300);
+    return Answer;
+  }});
+  raw_connection Kept(Bed.callers());
+  Kept.send("GET /checks/1 HTTP/1.1\r\nHost: shop.example\r\nId: r1\r\n"
+            "Key: k1\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(50));
+  auto Drained = Bed.drain();
+  const auto Reply = Kept.readToEnd(ingress_bed::LongWait);
+  CHECK(isStatus(Reply, 200));
+  CHECK(fieldOf(Reply, "Connection") == "close");
+
+  SUBCASE("it still answers callers that have not heard of it") {
+    CHECK(isStatus(Bed.get("/checks/1", "r2"), 200));
+    CHECK(Bed.onVm([](fleet_state &Fleet) {
+      return Fleet
+          .callerAddresses(region_name("lima"), failure_domain_name("lima-a"),
+                           boot_clock::now())
+          .empty();
+    }));
+    CHECK(Drained.wait_for(ingress_bed::LongWait) == std::future_status::ready);
+  }
+}
+
+TEST_CASE("an evacuated failure domain gets nothing") {
+  ingress_bed Bed({answerWhole});
+  Bed.onVm([](fleet_state &Fleet) {
+    Fleet.setEvacuated({failure_domain_name("lima-a")}, boot_clock::now());
+    return true;
+  });
+  CHECK(isStatus(Bed.get("/checks/1", "r1"), 503));
+  CHECK(Bed.endpoint(0).requests().empty());
+}
--- /dev/null
+++ b/tests/ingress/ingress_bed.h
@@ -0,0 +1,59 @@
+#ifndef SESAMEPADDLE_TESTS_INGRESS_INGRESS_BED_H
+#define SESAMEPADDLE_TESTS_INGRESS_INGRESS_BED_H
+
+#include "ingress/scripted_endpoint.h"
+#include "support/raw_connection.h"
+#include "sesamepaddle/ingress/ingress_node.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sesamepaddle {
+
+/** One VM and its scripted endpoints, on a thread of their own. */
+class ingress_bed {
+public:
+  explicit ingress_bed(std::vector<scripted_endpoint::script> Scripts);
+  ~ingress_bed();
+  ingress_bed(const ingress_bed &) = delete;
+  ingress_bed &operator=(const ingress_bed &) = delete;
+
+  /** Sends @p Bytes over a connection of their own and reads until it is
+      closed or @p Limit has passed. */
+  std::string exchange(std::string_view Bytes,
+                       std::chrono::milliseconds Limit = LongWait);
+
+  /** Sends a request that asks for the connection to be closed. */
+  std::string get(const std::string &Path, const std::string &Id,
+                  const std::string &Fields = "Key: k1\r\n");
+  std::string post(const std::string &Path, const std::string &Id,
+                   const std::string &Body);
+
+  /** Runs @p Work on the VM's thread and waits for it. */
+  template <typename Function> auto onVm(Function Work) {
+    std::promise<decltype(Work(std::declval<fleet_state &>()))> Result;
+    asio::post(Context, [&] { Result.set_value(Work(Node->fleet())); });
+    return Result.get_future().get();
+  }
+
+  scripted_endpoint &endpoint(std::size_t Index) { return *Endpoints[Index]; }
+  tcp::endpoint callers() const { return Node->callerEndpoint(); }
+  std::future<void> drain();
+
+  static constexpr std::chrono::milliseconds LongWait{5'000};
+
+private:
+  asio::io_context Context{1};
+  std::vector<std::unique_ptr<scripted_endpoint>> Endpoints;
+  std::unique_ptr<worker_pool> Pool;
+  std::unique_ptr<ingress_node> Node;
+  std::promise<void> Drained;
+  std::thread Thread;
+};
+
+} // namespace sesamepaddle
+
+#endif
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,4 +1,4 @@
-#include "net/raw_connection.h"
+#include "support/raw_connection.h"
 #include "sesamepaddle/net/http_client.h"
 #include "sesamepaddle/net/http_server.h"
 
--- a/tests/net/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -1,4 +1,4 @@
-#include "net/raw_connection.h"
+#include "support/raw_connection.h"
 
 #include <array>
 #include <poll.h>
