Judge endpoints by the answers that all VMs get

Ruled out: no budget for retries (the requests must not run twice). Change: evidence per endpoint is shared, good answers are forgotten faster than bad ones, the median of the service says what is usual, and an answer for an object that the endpoint knows counts as late before its timeout.

--- a/include/sesamepaddle/placing/endpoint_registry.h
+++ b/include/sesamepaddle/placing/endpoint_registry.h
@@ -3,14 +3,17 @@
 
 #include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/core/identifiers.h"
+#include "sesamepaddle/placing/endpoint_health.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace sesamepaddle {
@@ -53,7 +56,8 @@
 
   unsigned FailuresInRow = 0; ///< connections refused, dark or lost
   time_point AvoidUntil{};
-  double FailureRate = 0;     ///< of its answers, moving average
+  endpoint_health Health;
+  std::unordered_set<std::uint64_t> KnownObjects; ///< answered here before
   bool IsDisowned = false;    ///< another instance answers at its address
   bool IsLeavingSeen = false; ///< it said so itself while the record did not
   std::optional<time_point> RemovedAt;
@@ -69,8 +73,12 @@
   /** Treats the endpoint as cold until its next record must have come. */
   void suspectCold(time_point Now);
 
-  /** Counts an answer; @p IsFault when it says that the endpoint failed. */
-  void addAnswer(bool IsFault);
+  /** Counts an answer, which shows that the endpoint can be reached. */
+  void addAnswer();
+
+  /** Notes that the endpoint has answered for an object, so that it is faster
+      the next time. */
+  void addKnownObject(std::uint64_t ObjectHash);
 
   /** @returns the requests that it runs or queues, as far as is known. */
   unsigned knownLoad(time_point Now) const;
@@ -98,11 +106,23 @@
   /** Drops the endpoints whose stay has ended. */
   void expire(time_point Now);
 
+  /** Judges all endpoints by their answers of late. To be called several times
+      a second.
+      @param OnChange  called with each endpoint that is judged otherwise */
+  void judge(time_point Now,
+             const std::function<void(const fleet_endpoint &)> &OnChange);
+
   /** @returns the endpoints of @p Service, in the order of their ids. */
   std::span<const endpoint_pointer> of(const service_name &Service) const;
 
   endpoint_pointer find(const endpoint_id &Id) const;
 
+  /** Calls @p Visit with each endpoint. */
+  template <typename Function> void forEach(Function Visit) const {
+    for (const auto &[Id, Endpoint] : Endpoints)
+      Visit(*Endpoint);
+  }
+
   std::size_t size() const { return Endpoints.size(); }
 
 private:
--- a/include/sesamepaddle/placing/placement.h
+++ b/include/sesamepaddle/placing/placement.h
@@ -46,8 +46,6 @@
   /** How many endpoints of an object's order are asked before the least loaded
       of these takes the request. */
   std::size_t Choices = 3;
-  /** Share of failed answers from which an endpoint is passed over. */
-  double FaultyAt = 0.35;
 };
 
 /** Why nothing was chosen. */
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -47,6 +47,14 @@
   MSGPACK_DEFINE(Fingerprint, Endpoint)
 };
 
+/** What the sender has seen of an endpoint that answers badly. */
+struct gossip_health {
+  std::string Endpoint;
+  float Good = 0;
+  float Bad = 0;
+  MSGPACK_DEFINE(Endpoint, Good, Bad)
+};
+
 /** What a VM tells each other VM, one datagram. */
 struct gossip_message {
   std::uint8_t Format = 1;
@@ -61,10 +69,11 @@
   std::map<std::string, float> Demand; ///< requests a second by workspace
   std::vector<gossip_rollout> Rollouts;
   std::vector<gossip_crash> Crashes;
+  std::vector<gossip_health> Health;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, IsReady, WantsVms, Demand,
-                 Rollouts, Crashes, Vms)
+                 Rollouts, Crashes, Health, Vms)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or gives them. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -22,6 +22,8 @@
 // Kept between the end of a drain and the kill.
 constexpr milliseconds KillMargin{350};
 constexpr milliseconds TickInterval{100};
+// Others hear of a late endpoint at once, but not on every tick.
+constexpr int UrgentTurns = 2;
 // Connections waiting to be accepted; the kernel may allow fewer.
 constexpr int Backlog = 1'024;
 
@@ -187,6 +189,18 @@
           asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
       Fleet.endpoints().expire(Now);
+      Path.noticeLate(Now);
+      Fleet.endpoints().judge(Now, [&](const fleet_endpoint &Endpoint) {
+        const auto Seen = Endpoint.Health.total(Now);
+        Log.info(absl::StrCat(
+            "endpoint id=", Endpoint.Record.Id.str(),
+            " suspect=", Endpoint.Health.isSuspect(), " good=", Seen.Good,
+            " bad=", Seen.Bad, " service=", Endpoint.Record.Service.str()));
+      });
+      const bool IsReady = !Fleet.IsDraining && Fleet.configuration();
+      const bool IsUrgent = Turn % UrgentTurns == 0 && Path.takeUrgentNews();
+      if (IsReady != std::exchange(WasReady, IsReady) || IsUrgent)
+        Gossip->sendNow();
       for (auto &[Service, Rollout] : Fleet.rollouts())
         Rollout.advance(Now, Fleet.isStoreFresh(Now));
       if (Turn % 10 == 0)
@@ -232,6 +246,7 @@
   std::vector<std::unique_ptr<http_server>> Servers;
   std::list<std::weak_ptr<caller_session>> Open;
   time_point DrainStart{};
+  bool WasReady = false;
   std::function<void()> OnDrained;
 };
 
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds LeastTimeForRetry{40};
 // Endpoints that may be tried for one request without one being reached.
 constexpr int MaxUnreached = 3;
+// An answer that takes so many times the latency objective speaks against its
+// endpoint when it has answered for the object before: one that it does not
+// know takes about three times as long, and objectives lie between the two.
+constexpr double LateFactor = 1.6;
 // Callers come back spread over this time after a refusal, so that those of
 // one moment do not meet again.
 constexpr double RetrySpreadSeconds = 0.25;
@@ -88,6 +92,7 @@
   int Unreached = 0;
   bool MayHaveRun = false;
   exchange_end LastEnd = exchange_end::NotConnected;
+  bool IsLateCounted = false; ///< against the endpoint that it is at
   std::string Reason;
   std::string Endpoint;
 };
@@ -218,9 +223,17 @@
   Limits.BodyBytes = Pass.Configuration->limits().BodyBytes;
   const std::string Life = absl::StrCat(Record.Id.str(), "/", Record.StartedAt);
   ++Endpoint->InFlight;
+  const auto Objective = std::chrono::duration_cast<milliseconds>(
+      Pass.Route->LatencyObjective * LateFactor);
+  const bool IsKnown = Endpoint->KnownObjects.contains(Pass.ObjectHash);
+  const auto LateAt =
+      IsKnown ? boot_clock::now() + Objective : time_point::max();
+  const auto Entry = Sent.insert(Sent.end(), {Endpoint, LateAt, false});
   auto Result = co_await Upstreams.exchange(Life, Record.Address, Request,
                                             Limits, Pass.Request.Cancel);
   --Endpoint->InFlight;
+  Pass.IsLateCounted = Entry->IsCounted;
+  Sent.erase(Entry);
   const bool IsSuspicious = Result.End == exchange_end::Lost ||
                             Result.End == exchange_end::TimedOut ||
                             Result.End == exchange_end::Malformed;
@@ -230,6 +243,18 @@
   co_return Result;
 }
 
+void request_path::noticeLate(time_point Now) {
+  for (auto &Request : Sent) {
+    if (Request.IsCounted || Now < Request.LateAt)
+      continue;
+    Request.IsCounted = true;
+    if (Request.Endpoint->isCold(Now))
+      continue;
+    Request.Endpoint->Health.add(true, Now);
+    IsNewsUrgent = true;
+  }
+}
+
 void request_path::learn(pass &Pass, fleet_endpoint &Endpoint,
                          const exchange_result &Result) {
   const auto Now = boot_clock::now();
@@ -242,7 +267,9 @@
   case exchange_end::Lost:
   case exchange_end::Malformed:
   case exchange_end::TimedOut:
-    Endpoint.addAnswer(true);
+    Endpoint.addAnswer();
+    if (!Pass.IsLateCounted && !Endpoint.isCold(Now))
+      Endpoint.Health.add(true, Now);
     break;
   case exchange_end::Cancelled:
     return;
@@ -257,10 +284,15 @@
       Endpoint.Load = *Load;
       Endpoint.LoadAt = Now;
     }
-    if (Meaning != answer_meaning::NotRun)
-      Endpoint.addAnswer(isFaultStatus(Result.Reply.Status));
-    if (Meaning == answer_meaning::Final)
+    Endpoint.addAnswer();
+    if (!Pass.IsLateCounted && !Endpoint.isCold(Now))
+      Endpoint.Health.add(Meaning != answer_meaning::Final ||
+                              isFaultStatus(Result.Reply.Status),
+                          Now);
+    if (Meaning == answer_meaning::Final) {
       Poison.addAnswer(Pass.Fingerprint, Now);
+      Endpoint.addKnownObject(Pass.ObjectHash);
+    }
     break;
   }
   }
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -8,9 +8,11 @@
 #include "sesamepaddle/telemetry/metrics.h"
 #include "sesamepaddle/upstreams/poison_registry.h"
 
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace sesamepaddle {
 
@@ -35,6 +37,12 @@
   /** @returns the answer for the caller. */
   awaitable<http_reply> run(ingress_request Request);
 
+  /** Counts requests that are far too late already against their endpoints. */
+  void noticeLate(time_point Now);
+
+  /** @returns true, once, when an endpoint was seen to be late. */
+  bool takeUrgentNews() { return std::exchange(IsNewsUrgent, false); }
+
   std::size_t inFlight() const { return InFlight; }
   poison_registry &poison() { return Poison; }
 
@@ -67,7 +75,15 @@
   metrics &Metrics;
   decision_log &Log;
   poison_registry Poison;
+  /** A request that is at an endpoint. */
+  struct sent_request {
+    endpoint_pointer Endpoint;
+    time_point LateAt;
+    bool IsCounted = false;
+  };
+  std::list<sent_request> Sent;
   std::size_t InFlight = 0;
+  bool IsNewsUrgent = false;
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds SilenceUntilRare{8};
 constexpr int RareTurns = 8;
 constexpr std::size_t MaxCrashes = 16;
+// Endpoints told of in a message, so that it fits a datagram without fragments.
+constexpr std::size_t MaxHealth = 24;
 // Lenders that are asked one after the other for one request, and how long each
 // has: two ways between regions and a turn of its processor.
 constexpr std::size_t MaxLendersNear = 3;
@@ -175,7 +177,16 @@
     Message.Demand[Workspace] = static_cast<float>(Rate);
   for (const auto &[Service, Rollout] : Fleet.rollouts())
     Message.Rollouts.push_back(toGossip(Rollout));
-  Message.Crashes = Crashes;
+  Message.Crashes = std::exchange(Crashes, {});
+  Fleet.endpoints().forEach([&](const fleet_endpoint &Endpoint) {
+    if (!Endpoint.Health.isWorthTelling(Now) ||
+        Message.Health.size() >= MaxHealth)
+      return;
+    const auto Own = Endpoint.Health.own(Now);
+    Message.Health.push_back({Endpoint.Record.Id.str(),
+                              static_cast<float>(Own.Good),
+                              static_cast<float>(Own.Bad)});
+  });
   return Message;
 }
 
@@ -321,6 +332,10 @@
         Found->second.order().To.str() == Rollout.To)
       Found->second.applyPeer(Message.Name, toReport(Rollout));
   }
+  for (const auto &Seen : Message.Health)
+    if (const auto Endpoint =
+            Fleet.endpoints().find(endpoint_id(Seen.Endpoint)))
+      Endpoint->Health.applyPeer(Message.Name, {Seen.Good, Seen.Bad}, Now);
   for (const auto &Crash : Message.Crashes)
     Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
   for (const auto &Known : Message.Vms) {
--- a/src/placing/endpoint_registry.cpp
+++ b/src/placing/endpoint_registry.cpp
@@ -13,8 +13,8 @@
 constexpr std::chrono::milliseconds FirstAvoidance{250};
 // Longest pause, so that an endpoint that is back gets work again soon.
 constexpr std::chrono::milliseconds LongestAvoidance{2'000};
-// Weight of the newest answer in the moving average of failures.
-constexpr double NewestWeight = 0.1;
+// Objects of an endpoint that a VM remembers; endpoints keep some tens.
+constexpr std::size_t MaxKnownObjects = 64;
 // A reported load is trusted for about the length of a request.
 constexpr std::chrono::milliseconds LoadTrust{400};
 // An endpoint that came back cold says so with its next heartbeat, which is
@@ -35,10 +35,15 @@
   ProbationUntil = std::max(ProbationUntil, Now + Probation);
 }
 
-void fleet_endpoint::addAnswer(bool IsFault) {
+void fleet_endpoint::addAnswer() {
   FailuresInRow = 0;
   AvoidUntil = {};
-  FailureRate += NewestWeight * ((IsFault ? 1.0 : 0.0) - FailureRate);
+}
+
+void fleet_endpoint::addKnownObject(std::uint64_t ObjectHash) {
+  if (KnownObjects.size() >= MaxKnownObjects)
+    KnownObjects.clear();
+  KnownObjects.insert(ObjectHash);
 }
 
 unsigned fleet_endpoint::knownLoad(time_point Now) const {
@@ -113,6 +118,28 @@
     remove(Id, std::nullopt);
 }
 
+void endpoint_registry::judge(
+    time_point Now,
+    const std::function<void(const fleet_endpoint &)> &OnChange) {
+  for (const auto &[Service, Members] : ByService) {
+    std::vector<double> Shares;
+    Shares.reserve(Members.size());
+    for (const auto &Endpoint : Members)
+      Shares.push_back(Endpoint->Health.badShare(Now));
+    // The median, so that a few bad endpoints don't raise what is usual.
+    const auto Middle =
+        Shares.begin() + static_cast<std::ptrdiff_t>(Shares.size() / 2);
+    std::nth_element(Shares.begin(), Middle, Shares.end());
+    const double Usual = *Middle;
+    for (const auto &Endpoint : Members) {
+      const bool WasSuspect = Endpoint->Health.isSuspect();
+      Endpoint->Health.judge(Usual, Now);
+      if (Endpoint->Health.isSuspect() != WasSuspect)
+        OnChange(*Endpoint);
+    }
+  }
+}
+
 std::span<const endpoint_pointer>
 endpoint_registry::of(const service_name &Service) const {
   const auto Found = ByService.find(Service);
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -67,9 +67,8 @@
                 static_cast<std::int64_t>(std::max(Seconds, 1.0) * 1e6));
 }
 
-bool isHealthy(const fleet_endpoint &Endpoint, const placement_options &Options,
-               time_point Now) {
-  return !Endpoint.isAvoided(Now) && Endpoint.FailureRate < Options.FaultyAt;
+bool isHealthy(const fleet_endpoint &Endpoint, time_point Now) {
+  return !Endpoint.isAvoided(Now) && !Endpoint.Health.isSuspect();
 }
 
 double loadOf(const fleet_endpoint &Endpoint, time_point Now) {
@@ -114,7 +113,7 @@
   std::size_t Asked = 0;
   for (const bool WantsHealthy : {true, false}) {
     for (const auto &[Endpoint, Score] : Order) {
-      if (isHealthy(*Endpoint, Options, Now) != WantsHealthy)
+      if (isHealthy(*Endpoint, Now) != WantsHealthy)
         continue;
       if (Endpoint->isCold(Now)) {
         if (!isColdSendDue(*Endpoint, Limits, Now))
