Place requests at endpoints that know their object

Change: VMs tell each other which endpoint has answered for which object; such an endpoint goes first, waits longer, and a new one takes over its first two objects only.

--- a/include/sesamepaddle/placing/endpoint_registry.h
+++ b/include/sesamepaddle/placing/endpoint_registry.h
@@ -13,7 +13,6 @@
 #include <span>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace sesamepaddle {
@@ -57,7 +56,8 @@
   unsigned FailuresInRow = 0; ///< connections refused, dark or lost
   time_point AvoidUntil{};
   endpoint_health Health;
-  std::unordered_set<std::uint64_t> KnownObjects; ///< answered here before
+  /** Objects that it has answered for, at any VM, with their last use. */
+  std::unordered_map<std::uint64_t, time_point> KnownObjects;
   bool IsDisowned = false;    ///< another instance answers at its address
   bool IsLeavingSeen = false; ///< it said so itself while the record did not
   std::optional<time_point> RemovedAt;
@@ -77,8 +77,12 @@
   void addAnswer();
 
   /** Notes that the endpoint has answered for an object, so that it is faster
-      the next time. */
-  void addKnownObject(std::uint64_t ObjectHash);
+      the next time. @returns true when that is news */
+  bool addKnownObject(std::uint64_t ObjectHash, time_point Now);
+
+  bool knows(std::uint64_t ObjectHash) const {
+    return KnownObjects.contains(ObjectHash);
+  }
 
   /** @returns the requests that it runs or queues, as far as is known. */
   unsigned knownLoad(time_point Now) const;
@@ -117,6 +121,9 @@
 
   endpoint_pointer find(const endpoint_id &Id) const;
 
+  /** @returns the endpoint whose id has this hash, or null. */
+  endpoint_pointer findByHash(std::uint64_t Hash) const;
+
   /** Calls @p Visit with each endpoint. */
   template <typename Function> void forEach(Function Visit) const {
     for (const auto &[Id, Endpoint] : Endpoints)
@@ -130,6 +137,7 @@
 
   std::map<endpoint_id, endpoint_pointer> Endpoints;
   std::unordered_map<service_name, std::vector<endpoint_pointer>> ByService;
+  std::unordered_map<std::uint64_t, endpoint_id> IdByHash;
   std::map<endpoint_id, time_point> Lapsing;
 };
 
--- a/include/sesamepaddle/placing/placement.h
+++ b/include/sesamepaddle/placing/placement.h
@@ -43,6 +43,12 @@
   double RemoteWeight = 0.15;
   /** Load over slots at which the next endpoint in order takes a request. */
   double FullAt = 1.6;
+  /** The same for an endpoint that knows the object: waiting there for a while
+      takes less time than running elsewhere from nothing. */
+  double KnownFullAt = 2.2;
+  /** An endpoint that knows fewer objects than this is given those that fall to
+      it, also when another one knows them: new endpoints get work soon. */
+  std::size_t FewObjects = 2;
   /** How many endpoints of an object's order are asked before the least loaded
       of these takes the request. */
   std::size_t Choices = 3;
@@ -60,9 +66,10 @@
   endpoint_pointer Endpoint;
 };
 
-/** Chooses an endpoint: the object's first in weighted rendezvous order, or the
-    next one where that is full, failing or may not take more while cold. A cold
-    endpoint that is chosen has the request counted at once.
+/** Chooses an endpoint: one that knows the object, near first, or else the
+    object's first in weighted rendezvous order; the next one where that is
+   full, failing or may not take more while cold. A cold endpoint that is chosen
+   has the request counted at once.
     @see endpoint_registry */
 placed_endpoint placeRequest(std::span<const endpoint_pointer> Endpoints,
                              const placement_request &Request,
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -55,6 +55,13 @@
   MSGPACK_DEFINE(Endpoint, Good, Bad)
 };
 
+/** Objects that an endpoint has answered for, all by their hashes. */
+struct gossip_known {
+  std::uint64_t Endpoint = 0;
+  std::vector<std::uint64_t> Objects;
+  MSGPACK_DEFINE(Endpoint, Objects)
+};
+
 /** What a VM tells each other VM, one datagram. */
 struct gossip_message {
   std::uint8_t Format = 1;
@@ -70,10 +77,11 @@
   std::vector<gossip_rollout> Rollouts;
   std::vector<gossip_crash> Crashes;
   std::vector<gossip_health> Health;
+  std::vector<gossip_known> Known;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, IsReady, WantsVms, Demand,
-                 Rollouts, Crashes, Health, Vms)
+                 Rollouts, Crashes, Health, Known, Vms)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or gives them. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -192,10 +192,10 @@
       Path.noticeLate(Now);
       Fleet.endpoints().judge(Now, [&](const fleet_endpoint &Endpoint) {
         const auto Seen = Endpoint.Health.total(Now);
-        Log.info(absl::StrCat(
-            "endpoint id=", Endpoint.Record.Id.str(),
-            " suspect=", Endpoint.Health.isSuspect(), " good=", Seen.Good,
-            " bad=", Seen.Bad, " service=", Endpoint.Record.Service.str()));
+        Log.info(absl::StrCat("endpoint id=", Endpoint.Record.Id.str(),
+                              " suspect=", Endpoint.Health.isSuspect(),
+                              " good=", Seen.Good, " bad=", Seen.Bad,
+                              " service=", Endpoint.Record.Service.str()));
       });
       const bool IsReady = !Fleet.IsDraining && Fleet.configuration();
       const bool IsUrgent = Turn % UrgentTurns == 0 && Path.takeUrgentNews();
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -28,6 +28,8 @@
 // endpoint when it has answered for the object before: one that it does not
 // know takes about three times as long, and objectives lie between the two.
 constexpr double LateFactor = 1.6;
+// Objects that an endpoint has come to know, kept until the next message.
+constexpr std::size_t MaxKnownNews = 256;
 // Callers come back spread over this time after a refusal, so that those of
 // one moment do not meet again.
 constexpr double RetrySpreadSeconds = 0.25;
@@ -94,7 +96,9 @@
   exchange_end LastEnd = exchange_end::NotConnected;
   bool IsLateCounted = false; ///< against the endpoint that it is at
   std::string Reason;
-  std::string Endpoint;
+  std::string Endpoint; ///< the latest, with what spoke for it
+  bool IsKnown = false;
+  unsigned Load = 0;
 };
 
 request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
@@ -225,7 +229,7 @@
   ++Endpoint->InFlight;
   const auto Objective = std::chrono::duration_cast<milliseconds>(
       Pass.Route->LatencyObjective * LateFactor);
-  const bool IsKnown = Endpoint->KnownObjects.contains(Pass.ObjectHash);
+  const bool IsKnown = Endpoint->knows(Pass.ObjectHash);
   const auto LateAt =
       IsKnown ? boot_clock::now() + Objective : time_point::max();
   const auto Entry = Sent.insert(Sent.end(), {Endpoint, LateAt, false});
@@ -291,7 +295,10 @@
                           Now);
     if (Meaning == answer_meaning::Final) {
       Poison.addAnswer(Pass.Fingerprint, Now);
-      Endpoint.addKnownObject(Pass.ObjectHash);
+      if (Pass.Route->IsSticky &&
+          Endpoint.addKnownObject(Pass.ObjectHash, Now) &&
+          KnownNews.size() < MaxKnownNews)
+        KnownNews.push_back({Endpoint.Hash, Pass.ObjectHash});
     }
     break;
   }
@@ -347,6 +354,8 @@
           : refuse(Pass, 503, "no-endpoint", ShortRetrySeconds);
     }
     Pass.Endpoint = Placed.Endpoint->Record.Id.str();
+    Pass.IsKnown = Placed.Endpoint->knows(Pass.ObjectHash);
+    Pass.Load = Placed.Endpoint->knownLoad(Now);
     const auto Result = co_await exchange(Pass, Placed.Endpoint);
     Pass.LastEnd = Result.End;
     learn(Pass, *Placed.Endpoint, Result);
@@ -446,7 +455,8 @@
                 " reason=", Pass.Reason, " route=", Route, " version=",
                 Pass.Configuration ? Pass.Configuration->version() : 0,
                 " service=", Pass.Service.str(), " workspace=", Workspace,
-                " endpoint=", Pass.Endpoint, " attempts=", Pass.Arrivals,
+                " endpoint=", Pass.Endpoint, " known=", Pass.IsKnown,
+                " load=", Pass.Load, " attempts=", Pass.Arrivals,
                 " unreached=", Pass.Unreached, " ms=", toMilliseconds(Took),
                 " object=", toAbsl(findHeader(Message.Headers, Fields.Object))),
             boot_clock::now());
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace sesamepaddle {
 
@@ -40,6 +41,17 @@
   /** Counts requests that are far too late already against their endpoints. */
   void noticeLate(time_point Now);
 
+  /** An endpoint that has answered for an object, both by their hashes. */
+  struct known_object {
+    std::uint64_t Endpoint;
+    std::uint64_t Object;
+  };
+
+  /** @returns what endpoints have come to know since the last call. */
+  std::vector<known_object> takeKnownNews() {
+    return std::exchange(KnownNews, {});
+  }
+
   /** @returns true, once, when an endpoint was seen to be late. */
   bool takeUrgentNews() { return std::exchange(IsNewsUrgent, false); }
 
@@ -82,6 +94,7 @@
     bool IsCounted = false;
   };
   std::list<sent_request> Sent;
+  std::vector<known_object> KnownNews;
   std::size_t InFlight = 0;
   bool IsNewsUrgent = false;
 };
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::seconds SilenceUntilRare{8};
 constexpr int RareTurns = 8;
 constexpr std::size_t MaxCrashes = 16;
+constexpr double ExpectedTellers = 2;
 // Endpoints told of in a message, so that it fits a datagram without fragments.
 constexpr std::size_t MaxHealth = 24;
 // Lenders that are asked one after the other for one request, and how long each
@@ -191,9 +192,13 @@
 }
 
 void vm_gossip::sendAll(time_point Now) {
-  static thread_local int Turn = 0;
   ++Turn;
   auto Message = makeMessage(Now);
+  std::map<std::uint64_t, std::vector<std::uint64_t>> Known;
+  for (const auto &News : Path.takeKnownNews())
+    Known[News.Endpoint].push_back(News.Object);
+  for (auto &[Endpoint, Objects] : Known)
+    Message.Known.push_back({Endpoint, std::move(Objects)});
   const auto Usual = encodeGossip(Message);
   Message.WantsVms = true;
   const auto Asking = encodeGossip(Message);
@@ -332,6 +337,10 @@
         Found->second.order().To.str() == Rollout.To)
       Found->second.applyPeer(Message.Name, toReport(Rollout));
   }
+  for (const auto &Known : Message.Known)
+    if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
+      for (const auto Object : Known.Objects)
+        Endpoint->addKnownObject(Object, Now);
   for (const auto &Seen : Message.Health)
     if (const auto Endpoint =
             Fleet.endpoints().find(endpoint_id(Seen.Endpoint)))
@@ -347,6 +356,17 @@
   if (!Message.WantsVms)
     return;
   auto Reply = makeMessage(Now);
+  // One or two of all tell a VM that has just started what endpoints know.
+  const bool IsTeller =
+      Fleet.draw() * static_cast<double>(Fleet.vmCount()) < ExpectedTellers;
+  if (IsTeller)
+    Fleet.endpoints().forEach([&](const fleet_endpoint &Endpoint) {
+      gossip_known Known{Endpoint.Hash, {}};
+      for (const auto &[Object, LastUse] : Endpoint.KnownObjects)
+        Known.Objects.push_back(Object);
+      if (!Known.Objects.empty())
+        Reply.Known.push_back(std::move(Known));
+    });
   for (const auto &[Name, Known] : Fleet.vms())
     Reply.Vms.push_back({Name.str(), Known.GossipAddress});
   sendTo(Message.GossipAddress, encodeGossip(Reply));
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -55,6 +55,7 @@
   asio::steady_timer Timer;
   std::vector<gossip_crash> Crashes;
   std::uint64_t LastQuestion = 0;
+  int Turn = 0; ///< counts the messages to all
   std::map<std::uint64_t, asio::steady_timer *> OpenQuestions;
   std::array<char, 65'536> Datagram{};
   part_log Log{"gossip"};
--- a/src/placing/endpoint_registry.cpp
+++ b/src/placing/endpoint_registry.cpp
@@ -40,10 +40,15 @@
   AvoidUntil = {};
 }
 
-void fleet_endpoint::addKnownObject(std::uint64_t ObjectHash) {
-  if (KnownObjects.size() >= MaxKnownObjects)
-    KnownObjects.clear();
-  KnownObjects.insert(ObjectHash);
+bool fleet_endpoint::addKnownObject(std::uint64_t ObjectHash, time_point Now) {
+  const bool IsNews = KnownObjects.insert_or_assign(ObjectHash, Now).second;
+  if (KnownObjects.size() > MaxKnownObjects)
+    KnownObjects.erase(
+        std::min_element(KnownObjects.begin(), KnownObjects.end(),
+                         [](const auto &Left, const auto &Right) {
+                           return Left.second < Right.second;
+                         }));
+  return IsNews;
 }
 
 unsigned fleet_endpoint::knownLoad(time_point Now) const {
@@ -69,6 +74,7 @@
     const service_name Former = Slot ? Slot->Record.Service : service_name();
     Slot = std::make_shared<fleet_endpoint>();
     Slot->Hash = stableHash(Record.Id.view());
+    IdByHash[Slot->Hash] = Record.Id;
     Slot->Record = Record;
     Change = "joined";
     if (!Former.empty() && Former != Record.Service)
@@ -93,6 +99,7 @@
   }
   const service_name Service = Found->second->Record.Service;
   Found->second->Record.IsLeaving = true;
+  IdByHash.erase(Found->second->Hash);
   Endpoints.erase(Found);
   Lapsing.erase(Id);
   rebuild(Service);
@@ -153,6 +160,11 @@
   return Found == Endpoints.end() ? nullptr : Found->second;
 }
 
+endpoint_pointer endpoint_registry::findByHash(std::uint64_t Hash) const {
+  const auto Found = IdByHash.find(Hash);
+  return Found == IdByHash.end() ? nullptr : find(Found->second);
+}
+
 void endpoint_registry::rebuild(const service_name &Service) {
   auto &Members = ByService[Service];
   Members.clear();
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -17,6 +17,9 @@
 struct candidate {
   endpoint_pointer Endpoint;
   double Score = 0;
+  bool IsKnowing = false;
+  bool IsNear = false;
+  bool IsPreferred = false; ///< for knowing the object, or for knowing few
 };
 
 bool isUsable(const fleet_endpoint &Endpoint, const placement_request &Request,
@@ -80,7 +83,7 @@
 orderCandidates(std::span<const endpoint_pointer> Endpoints,
                 const placement_request &Request,
                 const placement_limits &Limits,
-                const placement_options &Options) {
+                const placement_options &Options, time_point Now) {
   std::vector<candidate> Order;
   Order.reserve(Endpoints.size());
   for (const auto &Endpoint : Endpoints) {
@@ -89,11 +92,28 @@
     const bool IsNear = Endpoint->Record.Region == Request.CallerRegion;
     const double Weight = std::max(1U, Endpoint->Record.Slots) *
                           (IsNear ? 1.0 : Options.RemoteWeight);
-    Order.push_back({Endpoint, rendezvousScore(Request.ObjectHash,
-                                               Endpoint->Hash, Weight)});
+    Order.push_back(
+        {Endpoint, rendezvousScore(Request.ObjectHash, Endpoint->Hash, Weight),
+         Endpoint->knows(Request.ObjectHash), IsNear,
+         Endpoint->knows(Request.ObjectHash)});
   }
+  // Callers that move to another region take their objects' endpoints along;
+  // endpoints that come take over no objects but their first few.
+  const auto First =
+      std::max_element(Order.begin(), Order.end(),
+                       [](const candidate &Left, const candidate &Right) {
+                         return Left.Score < Right.Score;
+                       });
+  if (First != Order.end() &&
+      First->Endpoint->KnownObjects.size() < Options.FewObjects &&
+      isHealthy(*First->Endpoint, Now))
+    First->IsPreferred = First->IsNear = true;
   std::sort(Order.begin(), Order.end(),
             [](const candidate &Left, const candidate &Right) {
+              if (Left.IsPreferred != Right.IsPreferred)
+                return Left.IsPreferred;
+              if (Left.IsPreferred && Left.IsNear != Right.IsNear)
+                return Left.IsNear;
               return Left.Score > Right.Score;
             });
   return Order;
@@ -105,14 +125,15 @@
                              const placement_request &Request,
                              const placement_limits &Limits,
                              const placement_options &Options, time_point Now) {
-  const auto Order = orderCandidates(Endpoints, Request, Limits, Options);
+  const auto Order = orderCandidates(Endpoints, Request, Limits, Options, Now);
   if (Order.empty())
     return {placement_result::NoEndpoint, nullptr};
   endpoint_pointer LeastLoaded;
   double LeastLoad = std::numeric_limits<double>::max();
   std::size_t Asked = 0;
   for (const bool WantsHealthy : {true, false}) {
-    for (const auto &[Endpoint, Score] : Order) {
+    for (const auto &Candidate : Order) {
+      const auto &Endpoint = Candidate.Endpoint;
       if (isHealthy(*Endpoint, Now) != WantsHealthy)
         continue;
       if (Endpoint->isCold(Now)) {
@@ -122,7 +143,7 @@
         return {placement_result::Placed, Endpoint};
       }
       const double Load = loadOf(*Endpoint, Now);
-      if (Load < Options.FullAt)
+      if (Load < (Candidate.IsKnowing ? Options.KnownFullAt : Options.FullAt))
         return {placement_result::Placed, Endpoint};
       if (Load < LeastLoad) {
         LeastLoad = Load;
--- a/tests/ingress/ingress_bed.h
+++ b/tests/ingress/ingress_bed.h
@@ -2,8 +2,8 @@
 #define SESAMEPADDLE_TESTS_INGRESS_INGRESS_BED_H
 
 #include "ingress/scripted_endpoint.h"
-#include "support/raw_connection.h"
 #include "sesamepaddle/ingress/ingress_node.h"
+#include "support/raw_connection.h"
 
 #include <future>
 #include <memory>
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,6 +1,6 @@
-#include "support/raw_connection.h"
 #include "sesamepaddle/net/http_client.h"
 #include "sesamepaddle/net/http_server.h"
+#include "support/raw_connection.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/placing/placement_test.cpp
+++ b/tests/placing/placement_test.cpp
@@ -39,7 +39,7 @@
   endpoint_pointer place(std::string_view Object, time_point Now = Start) {
     placement_request Request;
     Request.ObjectHash = stableHash(Object);
-    Request.CallerRegion = region_name("lima");
+    Request.CallerRegion = region_name(CallerRegion);
     Request.RouteHomes = Homes;
     return placeRequest(Registry.of(Orders), Request, Limits, {}, Now).Endpoint;
   }
@@ -57,6 +57,7 @@
   endpoint_registry Registry;
   placement_limits Limits;
   std::vector<region_name> Homes;
+  std::string CallerRegion = "lima";
 };
 
 } // namespace
@@ -97,6 +98,48 @@
     CHECK(Fleet.place("7") == First);
   }
 
+  SUBCASE("callers that move to another region keep their object's endpoint") {
+    const auto First = Fleet.place("7");
+    for (const auto &Endpoint : Fleet.Registry.of(Orders))
+      for (std::uint64_t Object = 0; Object < 3; ++Object)
+        Endpoint->addKnownObject(Object, Start);
+    First->addKnownObject(stableHash("7"), Start);
+    Fleet.CallerRegion = "trujillo";
+    CHECK(Fleet.place("7") == First);
+
+    SUBCASE("and wait there longer than at one that does not know it") {
+      First->InFlight = 5;
+      CHECK(Fleet.place("7") == First);
+      First->InFlight = 7;
+      CHECK(Fleet.place("7") != First);
+    }
+
+    SUBCASE("until another one near them knows it as well") {
+      endpoint_pointer Near;
+      for (const auto &Endpoint : Fleet.Registry.of(Orders))
+        if (Endpoint->Record.Region.str() == "trujillo")
+          Near = Endpoint;
+      Near->addKnownObject(stableHash("7"), Start);
+      CHECK(Fleet.place("7") == Near);
+    }
+  }
+
+  SUBCASE("an endpoint that joins gets its first objects from the others") {
+    for (const auto &Endpoint : Fleet.Registry.of(Orders))
+      for (int Object = 0; Object < 100; ++Object)
+        Endpoint->addKnownObject(stableHash(std::to_string(Object)), Start);
+    Fleet.Registry.apply(makeRecord(9, "lima"), Start);
+    const auto New = Fleet.Registry.find(endpoint_id("i-9"));
+    int Given = 0;
+    for (const auto &[Object, Id] : Fleet.placeAll())
+      Given += Id == "i-9";
+    CHECK(Given > 0);
+    New->addKnownObject(1, Start);
+    New->addKnownObject(2, Start);
+    for (const auto &[Object, Id] : Fleet.placeAll())
+      CHECK(Id != "i-9");
+  }
+
   SUBCASE("an endpoint that can't be reached is passed over for a time") {
     const auto First = Fleet.place("7");
     First->addFailure(Start);
