--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -25,7 +25,9 @@
   failure_domain_name FailureDomain;
   std::string CallerAddress;
   std::string GossipAddress;
+  std::string PeerHttpAddress;
   bool IsReady = false;
+  bool IsStoreLost = false; ///< it tried the store and got no answer
   time_point LastHeard{};
   time_point FirstKnown{};
 };
@@ -53,6 +55,18 @@
   void noteStoreContact(time_point Now) { LastStoreContact = Now; }
   bool isStoreFresh(time_point Now) const;
 
+  /** Says whether this VM reaches the store, as of its last try. */
+  void setStoreLost(bool IsLost) { IsStoreLost = IsLost; }
+  bool isStoreLost() const { return IsStoreLost; }
+
+  /** @returns the VM that reads the store for this one, or null when it reads
+      the store itself. A few VMs read for all; any may, and two at once are
+      harmless. */
+  const known_vm *storeReader(time_point Now) const;
+
+  /** Passes over a reader that did not answer, for a while. */
+  void avoidReader(const vm_name &Name, time_point Now);
+
   /** Takes another VM's message in; its own name is ignored. */
   void applyVm(known_vm Vm);
   /** Learns of a VM that has not been heard yet. */
@@ -112,7 +126,9 @@
   std::map<service_name, recorded_rollout> Recorded;
   std::map<vm_name, known_vm> Vms;
   std::set<failure_domain_name> Evacuated;
+  std::map<vm_name, time_point> AvoidedReaders; ///< until when
   time_point LastStoreContact{};
+  bool IsStoreLost = false;
   std::mt19937_64 Random;
 };
 
--- a/include/sesamepaddle/ingress/ingress_node.h
+++ b/include/sesamepaddle/ingress/ingress_node.h
@@ -15,7 +15,7 @@
 
 /** Answers what only the adapter of a platform knows; null: nothing. */
 using extra_handler =
-    std::function<std::optional<http_reply>(const http_request &)>;
+    std::function<awaitable<std::optional<http_reply>>(const http_request &)>;
 
 /** One VM: takes callers' requests, names VMs to callers, tells the other VMs
     what it sees. It runs on the first worker of a pool, alone. */
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -1,6 +1,9 @@
 #include "sesamepaddle/ingress/fleet_state.h"
 
+#include "sesamepaddle/steering/rendezvous.h"
+
 #include <algorithm>
+#include <vector>
 
 namespace sesamepaddle {
 
@@ -13,6 +16,12 @@
 // caller's own failure domain: enough that one dead VM leaves another.
 constexpr std::size_t LeastAddresses = 2;
 constexpr std::size_t MostAddresses = 64;
+// VMs that one reader of the store serves: few enough that a message to all of
+// them takes a small part of its link.
+constexpr std::size_t VmsPerReader = 24;
+// A VM that was not heard for more than two messages does not read for others.
+constexpr std::chrono::milliseconds ReaderSilence{1'300};
+constexpr std::chrono::milliseconds ReaderAvoidance{2'000};
 
 } // namespace
 
@@ -71,6 +80,51 @@
          Now - LastStoreContact < StoreFreshness;
 }
 
+const known_vm *fleet_state::storeReader(time_point Now) const {
+  struct candidate {
+    std::uint64_t Order;
+    const known_vm *Vm; ///< null: this VM
+  };
+  std::vector<candidate> Candidates;
+  if (!IsStoreLost)
+    Candidates.push_back({stableHash(Options.Vm.Name.view()), nullptr});
+  for (const auto &[Name, Vm] : Vms) {
+    const auto Avoided = AvoidedReaders.find(Name);
+    const bool IsAvoided =
+        Avoided != AvoidedReaders.end() && Now < Avoided->second;
+    if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided &&
+        Now - Vm.LastHeard < ReaderSilence)
+      Candidates.push_back({stableHash(Name.view()), &Vm});
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const candidate &Left, const candidate &Right) {
+              return Left.Order < Right.Order;
+            });
+  Candidates.resize(
+      std::min(Candidates.size(), 1 + vmCount() / VmsPerReader));
+  const known_vm *Chosen = nullptr;
+  const std::uint64_t Own = stableHash(Options.Vm.Name.view());
+  for (const auto &[Order, Vm] : Candidates) {
+    if (Vm == nullptr)
+      return nullptr;
+    const auto IsBetter = [&] {
+      const bool IsNear = Vm->Region == Options.Vm.Region;
+      const bool IsChosenNear = Chosen->Region == Options.Vm.Region;
+      return IsNear != IsChosenNear
+                 ? IsNear
+                 : rendezvousScore(Own, Order, 1) >
+                       rendezvousScore(Own, stableHash(Chosen->Name.view()), 1);
+    };
+    if (Chosen == nullptr || IsBetter())
+      Chosen = Vm;
+  }
+  return Chosen;
+}
+
+void fleet_state::avoidReader(const vm_name &Name, time_point Now) {
+  AvoidedReaders[Name] = Now + ReaderAvoidance;
+}
+
 void fleet_state::applyVm(known_vm Vm) {
   if (Vm.Name == Options.Vm.Name)
     return;
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -71,7 +71,9 @@
   std::string FailureDomain;
   std::string CallerAddress;
   std::string GossipAddress;
+  std::string PeerHttpAddress;
   bool IsReady = false;
+  bool IsStoreLost = false;
   bool WantsVms = false; ///< asks for the VMs that the receiver knows
   std::map<std::string, float> Demand; ///< requests a second by workspace
   std::vector<gossip_rollout> Rollouts;
@@ -80,7 +82,7 @@
   std::vector<gossip_known> Known;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
-                 CallerAddress, GossipAddress, IsReady, WantsVms, Demand,
+                 CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsStoreLost, WantsVms, Demand,
                  Rollouts, Crashes, Health, Known, Vms)
 };
 
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -107,7 +107,7 @@
     auto Server = http_server::start(
         Pool, Address,
         [this](const http_exchange &Exchange) -> awaitable<http_reply> {
-          co_return answer(Exchange.Request);
+          co_return co_await answer(Exchange.Request);
         });
     if (!Server.ok())
       return Server.status();
@@ -115,22 +115,25 @@
     return absl::OkStatus();
   }
 
-  http_reply answer(const http_request &Request) {
+  awaitable<http_reply> answer(const http_request &Request) {
     const auto Where = targetPath(Request.Target);
     const auto &Paths = Fleet.options().Paths;
     if (Where == Paths.Readiness) {
       const bool IsReady = !Fleet.IsDraining && Fleet.configuration();
-      return {IsReady ? 200U : 503U, {}, {}};
+      co_return http_reply{IsReady ? 200U : 503U, {}, {}};
     }
     if (Where == Paths.Directory)
-      return answerLookup(Request.Target);
-    if (Where == Paths.Metrics)
-      return {
-          200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText()};
-    if (Extra)
-      if (auto Reply = Extra(Request))
-        return std::move(*Reply);
-    return makeJsonReply(404, "{\"error\":\"no-such-path\"}\n");
+      co_return answerLookup(Request.Target);
+    if (Where == Paths.Metrics) {
+      http_reply Reply{200, {{"Content-Type", "text/plain"}}, metricsText()};
+      co_return Reply;
+    }
+    if (Extra) {
+      auto Reply = co_await Extra(Request);
+      if (Reply)
+        co_return std::move(*Reply);
+    }
+    co_return makeJsonReply(404, "{\"error\":\"no-such-path\"}\n");
   }
 
   http_reply answerLookup(const std::string &Target) {
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -168,6 +168,8 @@
   Message.FailureDomain = Vm.FailureDomain.str();
   Message.CallerAddress = Vm.CallerAddress;
   Message.GossipAddress = Vm.GossipAddress;
+  Message.PeerHttpAddress = Vm.PeerHttpAddress;
+  Message.IsStoreLost = Fleet.isStoreLost();
   Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
   const bool IsAnyoneHeard = std::any_of(
       Fleet.vms().begin(), Fleet.vms().end(), [&](const auto &Entry) {
@@ -326,7 +328,9 @@
   Vm.FailureDomain = failure_domain_name(Message.FailureDomain);
   Vm.CallerAddress = Message.CallerAddress;
   Vm.GossipAddress = Message.GossipAddress;
+  Vm.PeerHttpAddress = Message.PeerHttpAddress;
   Vm.IsReady = Message.IsReady;
+  Vm.IsStoreLost = Message.IsStoreLost;
   Vm.LastHeard = Now;
   Fleet.applyVm(Vm);
   workspace_demand Demand(Message.Demand.begin(), Message.Demand.end());
