Send messages between VMs by distance in large fleets

Cause: with 68 VMs each told each other one every 3.4 s, longer than the 1.3 s after which a reader of the store counts as silent: all VMs read the store themselves (2,163 calls in 18 s). Change: VMs of a region tell each other at 0.5 s up to 25 of them, those of other regions at 15 messages a second; readers are chosen within a region; a VM is silent by the interval at which it is heard.

--- a/include/sesamepaddle/admission/demand_quota.h
+++ b/include/sesamepaddle/admission/demand_quota.h
@@ -82,9 +82,10 @@
       been heard. */
   void learnPeer(const std::string &Vm);
 
-  /** Takes the demand of another VM. */
-  void applyPeer(const std::string &Vm, workspace_demand Demand,
-                 time_point Now);
+  /** Takes the demand of another VM.
+      @param SilentAfter  time without a message after which its part is held */
+  void applyPeer(const std::string &Vm, workspace_demand Demand, time_point Now,
+                 std::chrono::milliseconds SilentAfter);
 
   /** Forgets a VM that has left for good. */
   void removePeer(const std::string &Vm);
@@ -106,6 +107,7 @@
   struct peer {
     workspace_demand Demand;
     time_point LastHeard{};
+    std::chrono::milliseconds SilentAfter{0};
     bool IsSilent = true;
     std::map<std::string, double> HeldParts; ///< as of its last message
   };
--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -84,6 +84,16 @@
   const std::map<vm_name, known_vm> &vms() const { return Vms; }
   const std::set<failure_domain_name> &evacuated() const { return Evacuated; }
 
+  /** @returns true when @p Vm is in this VM's region, or the fleet is small. */
+  bool isNear(const known_vm &Vm) const;
+
+  /** @returns how long to wait between messages to VMs that are near, or to the
+      others: fewer messages go to each the more there are. */
+  std::chrono::milliseconds messageInterval(bool ToNear) const;
+
+  /** @returns true when @p Vm was heard as lately as its messages are due. */
+  bool isHeard(const known_vm &Vm, time_point Now) const;
+
   /** @returns how many VMs there may be, this one included. */
   std::size_t vmCount() const { return Vms.size() + 1; }
 
--- a/src/admission/demand_quota.cpp
+++ b/src/admission/demand_quota.cpp
@@ -20,8 +20,6 @@
 // What a new bucket begins with, as a part of the allowed overshoot: the VM may
 // be the successor of one that has just spent its own.
 constexpr double InitialOvershoot = 0.4;
-// A VM that was not heard for this long, more than two messages, is silent.
-constexpr std::chrono::milliseconds SilentAfter{1'300};
 // A VM that was silent for this long is gone, and its part goes to the others.
 constexpr std::chrono::seconds GoneAfter{60};
 // Most tokens that are borrowed at a time.
@@ -132,7 +130,7 @@
            Now - Entry.second.LastHeard > GoneAfter;
   });
   for (auto &[Vm, Peer] : Peers)
-    Peer.IsSilent = Now - Peer.LastHeard > SilentAfter;
+    Peer.IsSilent = Now - Peer.LastHeard > Peer.SilentAfter;
   if (IsHeard)
     OwnHeldParts.reset();
   else if (!OwnHeldParts && !Peers.empty()) {
@@ -236,9 +234,10 @@
 void demand_quota::learnPeer(const std::string &Vm) { Peers.try_emplace(Vm); }
 
 void demand_quota::applyPeer(const std::string &Vm, workspace_demand Demand,
-                             time_point Now) {
+                             time_point Now,
+                             std::chrono::milliseconds SilentAfter) {
   auto &Peer = Peers[Vm];
-  Peer = {std::move(Demand), Now, false, {}};
+  Peer = {std::move(Demand), Now, SilentAfter, false, {}};
   Peer.HeldParts = partsOf(Peer.Demand);
 }
 
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -21,6 +21,15 @@
 constexpr std::size_t VmsPerReader = 24;
 // A VM that was not heard for more than two messages does not read for others.
 constexpr std::chrono::milliseconds ReaderSilence{1'300};
+// Up to this many VMs, all tell each other everything at the short interval.
+constexpr std::size_t SmallFleet = 16;
+constexpr std::chrono::milliseconds ShortInterval{500};
+// Messages a second that a VM sends at most, to its region and to all others:
+// about 10 and 3 KB/s.
+constexpr double NearMessagesPerSecond = 50;
+constexpr double FarMessagesPerSecond = 15;
+// Messages that may be missing before a VM counts as silent.
+constexpr double SilentMessages = 2.5;
 constexpr std::chrono::milliseconds ReaderAvoidance{2'000};
 
 } // namespace
@@ -92,16 +101,24 @@
     const auto Avoided = AvoidedReaders.find(Name);
     const bool IsAvoided =
         Avoided != AvoidedReaders.end() && Now < Avoided->second;
-    if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided &&
-        Now - Vm.LastHeard < ReaderSilence)
+    const auto Silence = std::max<std::chrono::milliseconds>(
+        ReaderSilence,
+        std::chrono::milliseconds(static_cast<std::int64_t>(
+            SilentMessages *
+            static_cast<double>(messageInterval(true).count()))));
+    if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided && isNear(Vm) &&
+        Now - Vm.LastHeard < Silence)
       Candidates.push_back({stableHash(Name.view()), &Vm});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const candidate &Left, const candidate &Right) {
               return Left.Order < Right.Order;
             });
-  Candidates.resize(
-      std::min(Candidates.size(), 1 + vmCount() / VmsPerReader));
+  const auto Near = static_cast<std::size_t>(
+      std::count_if(Vms.begin(), Vms.end(), [this](const auto &Entry) {
+        return isNear(Entry.second);
+      }));
+  Candidates.resize(std::min(Candidates.size(), 1 + Near / VmsPerReader));
   const known_vm *Chosen = nullptr;
   const std::uint64_t Own = stableHash(Options.Vm.Name.view());
   for (const auto &[Order, Vm] : Candidates) {
@@ -121,6 +138,30 @@
   return Chosen;
 }
 
+bool fleet_state::isNear(const known_vm &Vm) const {
+  return Vms.size() < SmallFleet || Vm.Region == Options.Vm.Region;
+}
+
+std::chrono::milliseconds fleet_state::messageInterval(bool ToNear) const {
+  const auto Count =
+      std::count_if(Vms.begin(), Vms.end(), [&](const auto &Entry) {
+        return isNear(Entry.second) == ToNear;
+      });
+  const double Seconds =
+      static_cast<double>(Count) /
+      (ToNear ? NearMessagesPerSecond : FarMessagesPerSecond);
+  return std::max(ShortInterval, std::chrono::milliseconds(
+                                     static_cast<std::int64_t>(Seconds * 1e3)));
+}
+
+bool fleet_state::isHeard(const known_vm &Vm, time_point Now) const {
+  const auto Due = std::chrono::milliseconds(static_cast<std::int64_t>(
+      SilentMessages *
+      static_cast<double>(messageInterval(isNear(Vm)).count())));
+  return Vm.LastHeard != time_point{} &&
+         Now - Vm.LastHeard < std::max(Options.Bounds.VmSilence, Due);
+}
+
 void fleet_state::avoidReader(const vm_name &Name, time_point Now) {
   AvoidedReaders[Name] = Now + ReaderAvoidance;
 }
@@ -205,7 +246,7 @@
     Named.push_back({DistanceOf(Options.Vm.Region, Options.Vm.FailureDomain),
                      Options.Vm.CallerAddress});
   for (const auto &[Name, Vm] : Vms)
-    if (Vm.IsReady && Now - Vm.LastHeard < Options.Bounds.VmSilence)
+    if (Vm.IsReady && isHeard(Vm, Now))
       Named.push_back(
           {DistanceOf(Vm.Region, Vm.FailureDomain), Vm.CallerAddress});
   std::stable_sort(Named.begin(), Named.end(),
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -82,8 +82,9 @@
   std::vector<gossip_known> Known;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
-                 CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsStoreLost, WantsVms, Demand,
-                 Rollouts, Crashes, Health, Known, Vms)
+                 CallerAddress, GossipAddress, PeerHttpAddress, IsReady,
+                 IsStoreLost, WantsVms, Demand, Rollouts, Crashes, Health,
+                 Known, Vms)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or gives them. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -73,7 +73,7 @@
     Fleet.IsDraining = true;
     DrainStart = boot_clock::now();
     OnDrained = std::move(Done);
-    Gossip->sendNow();
+    Gossip->sendNow(true);
     Log.info(absl::StrCat("draining requests=", Path.inFlight(),
                           " connections=", Sessions->Open));
   }
@@ -202,8 +202,9 @@
       });
       const bool IsReady = !Fleet.IsDraining && Fleet.configuration();
       const bool IsUrgent = Turn % UrgentTurns == 0 && Path.takeUrgentNews();
-      if (IsReady != std::exchange(WasReady, IsReady) || IsUrgent)
-        Gossip->sendNow();
+      const bool IsReadyNews = IsReady != std::exchange(WasReady, IsReady);
+      if (IsReadyNews || IsUrgent)
+        Gossip->sendNow(IsReadyNews);
       for (auto &[Service, Rollout] : Fleet.rollouts())
         Rollout.advance(Now, Fleet.isStoreFresh(Now));
       if (Turn % 10 == 0)
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -13,14 +13,12 @@
 
 using std::chrono::milliseconds;
 
-// Between two messages to the same VM while there are few; evidence and demand
-// are at most this old, and a VM is found silent after five missing ones.
-constexpr milliseconds ShortInterval{500};
 // While all traffic moves to a new version: a fault has to be known everywhere
 // before many requests meet it.
 constexpr milliseconds UrgentInterval{150};
-// Datagrams that a VM sends in a second at most, for 2 KB/s of control.
-constexpr double MaxDatagramsPerSecond = 20;
+constexpr double UrgentMessagesPerSecond = 100;
+// Messages that may be missing before the parts of a VM's demand are held.
+constexpr int SilentMessages = 3;
 // A VM that has been silent this long is tried less often.
 constexpr std::chrono::seconds SilenceUntilRare{8};
 constexpr int RareTurns = 8;
@@ -99,7 +97,7 @@
     if (const auto Gossip = Weak.lock();
         Gossip && Gossip->Crashes.size() < MaxCrashes) {
       Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
-      Gossip->sendNow();
+      Gossip->sendNow(true);
     }
   };
   asio::co_spawn(Socket.get_executor(), receiveLoop(),
@@ -116,15 +114,16 @@
   Timer.cancel();
 }
 
-void vm_gossip::sendNow() { sendAll(boot_clock::now()); }
+void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll); }
 
 milliseconds vm_gossip::interval() const {
   for (const auto &[Service, Rollout] : Fleet.rollouts())
     if (Rollout.isUrgent())
-      return UrgentInterval;
-  const auto Spread = milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(Fleet.vms().size()) * 1000 / MaxDatagramsPerSecond));
-  return std::max(ShortInterval, Spread);
+      return std::max(UrgentInterval,
+                      milliseconds(static_cast<std::int64_t>(
+                          1e3 * static_cast<double>(Fleet.vms().size()) /
+                          UrgentMessagesPerSecond)));
+  return Fleet.messageInterval(true);
 }
 
 awaitable<void> vm_gossip::receiveLoop() {
@@ -152,7 +151,12 @@
 
 awaitable<void> vm_gossip::sendLoop() {
   while (!IsStopped) {
-    sendAll(boot_clock::now());
+    const auto Now = boot_clock::now();
+    const bool IsUrgent = interval() < Fleet.messageInterval(true);
+    const bool IsFarDue = IsUrgent || Now >= NextFar;
+    if (IsFarDue)
+      NextFar = Now + Fleet.messageInterval(false);
+    send(Now, IsFarDue);
     boost::system::error_code Error;
     Timer.expires_after(interval());
     co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
@@ -172,9 +176,8 @@
   Message.IsStoreLost = Fleet.isStoreLost();
   Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
   const bool IsAnyoneHeard = std::any_of(
-      Fleet.vms().begin(), Fleet.vms().end(), [&](const auto &Entry) {
-        return Now - Entry.second.LastHeard < 3 * ShortInterval;
-      });
+      Fleet.vms().begin(), Fleet.vms().end(),
+      [&](const auto &Entry) { return Fleet.isHeard(Entry.second, Now); });
   for (const auto &[Workspace, Rate] :
        Fleet.quota().publish(Now, IsAnyoneHeard))
     Message.Demand[Workspace] = static_cast<float>(Rate);
@@ -193,18 +196,21 @@
   return Message;
 }
 
-void vm_gossip::sendAll(time_point Now) {
+void vm_gossip::send(time_point Now, bool ToAll) {
   ++Turn;
   auto Message = makeMessage(Now);
   std::map<std::uint64_t, std::vector<std::uint64_t>> Known;
-  for (const auto &News : Path.takeKnownNews())
-    Known[News.Endpoint].push_back(News.Object);
+  if (ToAll)
+    for (const auto &News : Path.takeKnownNews())
+      Known[News.Endpoint].push_back(News.Object);
   for (auto &[Endpoint, Objects] : Known)
     Message.Known.push_back({Endpoint, std::move(Objects)});
   const auto Usual = encodeGossip(Message);
   Message.WantsVms = true;
   const auto Asking = encodeGossip(Message);
   for (const auto &[Name, Vm] : Fleet.vms()) {
+    if (!ToAll && !Fleet.isNear(Vm))
+      continue;
     const bool IsNeverHeard = Vm.LastHeard == time_point{};
     const bool IsRare = Now - Vm.LastHeard > SilenceUntilRare;
     if (IsRare && !IsNeverHeard && Turn % RareTurns != 0)
@@ -242,7 +248,7 @@
   std::vector<std::string> Near;
   std::vector<std::string> Far;
   for (const auto &[Name, Vm] : Fleet.vms()) {
-    if (Now - Vm.LastHeard > Fleet.options().Bounds.VmSilence)
+    if (!Fleet.isHeard(Vm, Now))
       continue;
     const bool IsNear = Vm.Region == Fleet.options().Vm.Region;
     (IsNear ? Near : Far).push_back(Vm.GossipAddress);
@@ -334,7 +340,9 @@
   Vm.LastHeard = Now;
   Fleet.applyVm(Vm);
   workspace_demand Demand(Message.Demand.begin(), Message.Demand.end());
-  Fleet.quota().applyPeer(Message.Name, std::move(Demand), Now);
+  Fleet.quota().applyPeer(Message.Name, std::move(Demand), Now,
+                          SilentMessages *
+                              Fleet.messageInterval(Fleet.isNear(Vm)));
   for (const auto &Rollout : Message.Rollouts) {
     const auto Found = Fleet.rollouts().find(service_name(Rollout.Service));
     if (Found != Fleet.rollouts().end() &&
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -32,15 +32,15 @@
       @returns true when the bucket has one now */
   awaitable<bool> borrow(workspace_name Workspace);
 
-  /** Tells all VMs at once, as after a change of readiness. */
-  void sendNow();
+  /** Tells the VMs that are near at once, or all of them. */
+  void sendNow(bool ToAll);
 
   void stop();
 
 private:
   awaitable<void> receiveLoop();
   awaitable<void> sendLoop();
-  void sendAll(time_point Now);
+  void send(time_point Now, bool ToAll);
   void sendTo(const std::string &Address, const std::string &Datagram);
   void take(const gossip_message &Message, time_point Now);
   void takeTokens(const token_message &Message, time_point Now);
@@ -55,7 +55,8 @@
   asio::steady_timer Timer;
   std::vector<gossip_crash> Crashes;
   std::uint64_t LastQuestion = 0;
-  int Turn = 0; ///< counts the messages to all
+  int Turn = 0; ///< counts the rounds of messages
+  time_point NextFar{};
   std::map<std::uint64_t, asio::steady_timer *> OpenQuestions;
   std::array<char, 65'536> Datagram{};
   part_log Log{"gossip"};
--- a/tests/admission/demand_quota_test.cpp
+++ b/tests/admission/demand_quota_test.cpp
@@ -16,6 +16,7 @@
 const workspace_name Bakery("bakery");
 const time_point Start = time_point(std::chrono::hours(1));
 constexpr milliseconds Step{10};
+constexpr milliseconds SilentAfter{1'300};
 constexpr int StepsPerMessage = 50;
 
 /** Several VMs that admit requests of one workspace and tell each other their
@@ -103,7 +104,7 @@
       const auto Demand = Quotas[From].publish(Now, !IsCut[From]);
       for (std::size_t To = 0; To < Quotas.size(); ++To)
         if (To != From && !IsCut[From] && !IsCut[To] && Uniform(Random) >= Loss)
-          Quotas[To].applyPeer(std::to_string(From), Demand, Now);
+          Quotas[To].applyPeer(std::to_string(From), Demand, Now, SilentAfter);
     }
   }
 
