Refuse requests that crash their endpoints

Cause: the registry of such requests was asked but never told. A connection that is lost at work is followed by one attempt to connect: an endpoint that takes none has crashed, and the other VMs hear of it; one that takes it gets the connection for a later request.

--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -30,6 +30,8 @@
 constexpr double LateFactor = 1.6;
 // Objects that an endpoint has come to know, kept until the next message.
 constexpr std::size_t MaxKnownNews = 256;
+// Time from a lost connection until a crashed endpoint refuses new ones.
+constexpr milliseconds CrashSettles{30};
 // Callers come back spread over this time after a refusal, so that those of
 // one moment do not meet again.
 constexpr double RetrySpreadSeconds = 0.25;
@@ -244,9 +246,39 @@
   // What silenced or cut this connection is likely to have met the others.
   if (IsSuspicious)
     Upstreams.discard(Life);
+  if (Result.End == exchange_end::Lost)
+    asio::co_spawn(co_await asio::this_coro::executor,
+                   verifyCrash(Endpoint, Pass.Fingerprint), asio::detached);
   co_return Result;
 }
 
+// An endpoint that lost a request at work either lost the connection alone or
+// crashed. Only the second speaks against the request, and shows in that the
+// endpoint takes no connections for a while.
+awaitable<void> request_path::verifyCrash(endpoint_pointer Endpoint,
+                                          std::string Fingerprint) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, CrashSettles);
+  co_await Timer.async_wait(asio::use_awaitable);
+  const auto &Record = Endpoint->Record;
+  const bool IsThere = co_await Upstreams.connect(
+      absl::StrCat(Record.Id.str(), "/", Record.StartedAt), Record.Address,
+      ConnectTimeout);
+  if (IsThere)
+    co_return;
+  const auto Now = boot_clock::now();
+  Endpoint->addFailure(Now);
+  Endpoint->suspectCold(Now);
+  const crash_evidence Evidence{Fingerprint, Record.Id.str()};
+  if (!Poison.addCrash(Evidence, Now))
+    co_return;
+  Log.write(absl::StrCat("crash endpoint=", Record.Id.str(), " fingerprint=",
+                         Fingerprint, " suspects=", Poison.suspects(),
+                         " refused=", !Poison.mayRun(Fingerprint, Now)),
+            Now);
+  if (OnCrash)
+    OnCrash(Evidence);
+}
+
 void request_path::noticeLate(time_point Now) {
   for (auto &Request : Sent) {
     if (Request.IsCounted || Now < Request.LateAt)
@@ -430,7 +462,8 @@
             : stableHash(absl::StrCat(Pass.Service.str(), "/", toAbsl(Object)));
     Pass.Fingerprint = std::to_string(stableHash(absl::StrCat(
         Pass.Workspace != nullptr ? Pass.Workspace->Name.str() : "", " ",
-        Message.Method, " ", Message.Target, " ", Message.Body)));
+        Message.Method, " ", Message.Target, " ", toAbsl(Object), " ",
+        Message.Body)));
     auto Refused = co_await admit(Pass);
     if (Refused) {
       Reply = std::move(*Refused);
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -76,6 +76,8 @@
   std::shared_ptr<upstream_request>
   makeUpstreamRequest(const pass &Pass, const fleet_endpoint &Endpoint) const;
   bool mayRetry(pass &Pass, bool IsArrival);
+  awaitable<void> verifyCrash(endpoint_pointer Endpoint,
+                              std::string Fingerprint);
   void learn(pass &Pass, fleet_endpoint &Endpoint,
              const exchange_result &Result);
   http_reply finalReply(const pass &Pass) const;
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -249,6 +249,18 @@
   co_return Result;
 }
 
+awaitable<bool> upstream_pool::connect(std::string Endpoint,
+                                       std::string Address,
+                                       std::chrono::milliseconds Timeout) {
+  auto Connection =
+      co_await open(Address, Timeout, std::make_shared<cancel_source>());
+  if (!Connection)
+    co_return false;
+  Connection->UsableUntil = boot_clock::now() + UsualIdleTime;
+  Idle[Endpoint].push_back(std::move(Connection));
+  co_return true;
+}
+
 void upstream_pool::sweep(time_point Now) {
   for (auto Entry = Idle.begin(); Entry != Idle.end();) {
     std::erase_if(Entry->second, [Now](const connection_pointer &Connection) {
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -85,6 +85,11 @@
            std::shared_ptr<const upstream_request> Request,
            exchange_limits Limits, std::shared_ptr<cancel_source> Cancel);
 
+  /** Opens a connection to @p Address and keeps it for a later request.
+      @returns false when the endpoint refuses it or stays dark */
+  awaitable<bool> connect(std::string Endpoint, std::string Address,
+                          std::chrono::milliseconds Timeout);
+
   /** Closes connections that have been idle too long. */
   void sweep(time_point Now);
 
--- a/tests/ingress/answers_test.cpp
+++ b/tests/ingress/answers_test.cpp
@@ -261,3 +261,25 @@
   CHECK(isStatus(Bed.get("/checks/1", "r1"), 503));
   CHECK(Bed.endpoint(0).requests().empty());
 }
+
+TEST_CASE("a request that crashes its endpoints is not sent to all of them") {
+  const auto Lose = [](const std::string &) {
+    return scripted_answer{"", "", false, true, milliseconds(0)};
+  };
+  // Five endpoints that crash: they lose the request and take no connections.
+  ingress_bed Bed({Lose, Lose, Lose, Lose, Lose});
+  for (std::size_t Index = 0; Index < 5; ++Index)
+    Bed.endpoint(Index).crashOnNextRequest();
+  std::size_t Refused = 0;
+  for (int Attempt = 0; Attempt < 12; ++Attempt) {
+    const auto Reply =
+        Bed.post("/orders/1", "r" + std::to_string(Attempt), "poison");
+    Refused += isStatus(Reply, 503) ? 1 : 0;
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  std::size_t Crashed = 0;
+  for (std::size_t Index = 0; Index < 5; ++Index)
+    Crashed += Bed.endpoint(Index).requests().size();
+  CHECK(Crashed <= 3);
+  CHECK(Refused >= 9);
+}
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -37,9 +37,12 @@
 }
 
 awaitable<void> scripted_endpoint::acceptLoop() {
-  for (;;) {
-    auto Socket = std::make_shared<tcp::socket>(
-        co_await Acceptor.async_accept(asio::use_awaitable));
+  while (Acceptor.is_open()) {
+    boost::system::error_code Error;
+    auto Socket = std::make_shared<tcp::socket>(co_await Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, Error)));
+    if (Error)
+      co_return;
     ++Connections;
     asio::co_spawn(Context, serve(Socket), asio::detached);
   }
@@ -72,6 +75,8 @@
       Requests.push_back(Request);
     }
     const auto Answer = Script(Request);
+    if (CrashesNext)
+      Acceptor.close(Error);
     if (Answer.Delay.count() > 0)
       co_await pause(Answer.Delay);
     char Byte = 0;
--- a/tests/ingress/scripted_endpoint.h
+++ b/tests/ingress/scripted_endpoint.h
@@ -30,6 +30,9 @@
 
   std::string address() const;
 
+  /** From the next request on no connection is taken. */
+  void crashOnNextRequest() { CrashesNext = true; }
+
   /** @returns the requests that came, whole. */
   std::vector<std::string> requests() const;
 
@@ -49,6 +52,7 @@
   mutable std::mutex Mutex;
   std::vector<std::string> Requests;
   std::atomic<std::size_t> Connections{0};
+  std::atomic<bool> CrashesNext{false};
   std::atomic<std::size_t> Abandoned{0};
 };
 
