Weigh waiting where an object is known against running it from nothing

Change: VMs tell each other what they have under way at each endpoint; where all are busy the expected time decides, 4 x (1 + load) for an unknown object and 1 + load for a known one; a failed answer makes no object known.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sesamepaddle {
 
@@ -32,6 +33,12 @@
   time_point FirstKnown{};
 };
 
+/** Requests of a VM that are at an endpoint, which is named by its hash. */
+struct endpoint_load {
+  std::uint64_t Endpoint = 0;
+  unsigned InFlight = 0;
+};
+
 /** What one VM knows and believes about the fleet. Everything that decides over
     a request reads it at the moment of sending. For one thread. */
 class fleet_state {
@@ -64,6 +71,13 @@
       harmless. */
   const known_vm *storeReader(time_point Now) const;
 
+  /** Takes in what another VM has under way at endpoints. */
+  void applyLoads(const vm_name &Vm, std::vector<endpoint_load> Loads,
+                  time_point Now);
+
+  /** Adds up what the other VMs have under way, for placing. */
+  void refreshLoads(time_point Now);
+
   /** Passes over a reader that did not answer, for a while. */
   void avoidReader(const vm_name &Name, time_point Now);
 
@@ -122,6 +136,10 @@
   bool IsDraining = false;
 
 private:
+  struct vm_loads {
+    std::vector<endpoint_load> Loads;
+    time_point At{};
+  };
   struct recorded_rollout {
     version_name To;
     rollout_outcome Outcome;
@@ -137,6 +155,7 @@
   std::map<vm_name, known_vm> Vms;
   std::set<failure_domain_name> Evacuated;
   std::map<vm_name, time_point> AvoidedReaders; ///< until when
+  std::map<vm_name, vm_loads> VmLoads;
   time_point LastStoreContact{};
   bool IsStoreLost = false;
   std::mt19937_64 Random;
--- a/include/sesamepaddle/placing/endpoint_registry.h
+++ b/include/sesamepaddle/placing/endpoint_registry.h
@@ -45,7 +45,8 @@
   endpoint_record Record;
   std::uint64_t Hash = 0; ///< of the id; the same on all VMs
 
-  unsigned InFlight = 0; ///< requests of this VM
+  unsigned InFlight = 0;     ///< requests of this VM
+  unsigned PeerInFlight = 0; ///< of other VMs, as they last told
   reported_load Load;
   time_point LoadAt{};
 
--- a/include/sesamepaddle/placing/placement.h
+++ b/include/sesamepaddle/placing/placement.h
@@ -46,6 +46,9 @@
   /** The same for an endpoint that knows the object: waiting there for a while
       takes less time than running elsewhere from nothing. */
   double KnownFullAt = 2.2;
+  /** Time that an object takes where it is not known, over that where it is:
+      the work is 3.3 times as much, and takes the slots from others as long. */
+  double NewObjectCost = 4.0;
   /** An endpoint that knows fewer objects than this is given those that fall to
       it, also when another one knows them: new endpoints get work soon. */
   std::size_t FewObjects = 2;
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -19,6 +19,11 @@
 // VMs that one reader of the store serves: few enough that a message to all of
 // them takes a small part of its link.
 constexpr std::size_t VmsPerReader = 24;
+// What another VM has under way at endpoints counts for this long: more than
+// the interval of messages nearby.
+constexpr std::chrono::milliseconds LoadTrust{800};
+// A reader in the own region is preferred nearly always.
+constexpr double NearWeight = 1e6;
 // A VM that was not heard for more than two messages does not read for others.
 constexpr std::chrono::milliseconds ReaderSilence{1'300};
 // Up to this many VMs, all tell each other everything at the short interval.
@@ -121,19 +126,18 @@
   Candidates.resize(std::min(Candidates.size(), 1 + Near / VmsPerReader));
   const known_vm *Chosen = nullptr;
   const std::uint64_t Own = stableHash(Options.Vm.Name.view());
-  for (const auto &[Order, Vm] : Candidates) {
-    if (Vm == nullptr)
+  double BestScore = 0;
+  for (const auto &Candidate : Candidates) {
+    if (Candidate.Vm == nullptr)
       return nullptr;
-    const auto IsBetter = [&] {
-      const bool IsNear = Vm->Region == Options.Vm.Region;
-      const bool IsChosenNear = Chosen->Region == Options.Vm.Region;
-      return IsNear != IsChosenNear
-                 ? IsNear
-                 : rendezvousScore(Own, Order, 1) >
-                       rendezvousScore(Own, stableHash(Chosen->Name.view()), 1);
-    };
-    if (Chosen == nullptr || IsBetter())
-      Chosen = Vm;
+    // Scores are positive, so that near ones can be set above all others.
+    const bool IsNear = Candidate.Vm->Region == Options.Vm.Region;
+    const double Score =
+        rendezvousScore(Own, Candidate.Order, IsNear ? NearWeight : 1);
+    if (Chosen == nullptr || Score > BestScore) {
+      Chosen = Candidate.Vm;
+      BestScore = Score;
+    }
   }
   return Chosen;
 }
@@ -162,6 +166,22 @@
          Now - Vm.LastHeard < std::max(Options.Bounds.VmSilence, Due);
 }
 
+void fleet_state::applyLoads(const vm_name &Vm,
+                             std::vector<endpoint_load> Loads, time_point Now) {
+  VmLoads[Vm] = {std::move(Loads), Now};
+}
+
+void fleet_state::refreshLoads(time_point Now) {
+  Registry.forEach([](fleet_endpoint &Endpoint) { Endpoint.PeerInFlight = 0; });
+  for (const auto &[Vm, Told] : VmLoads) {
+    if (Now - Told.At > LoadTrust)
+      continue;
+    for (const auto &Load : Told.Loads)
+      if (const auto Endpoint = Registry.findByHash(Load.Endpoint))
+        Endpoint->PeerInFlight += Load.InFlight;
+  }
+}
+
 void fleet_state::avoidReader(const vm_name &Name, time_point Now) {
   AvoidedReaders[Name] = Now + ReaderAvoidance;
 }
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -55,6 +55,13 @@
   MSGPACK_DEFINE(Endpoint, Good, Bad)
 };
 
+/** Requests of the sender that are at an endpoint. */
+struct gossip_load {
+  std::uint64_t Endpoint = 0;
+  std::uint32_t InFlight = 0;
+  MSGPACK_DEFINE(Endpoint, InFlight)
+};
+
 /** Objects that an endpoint has answered for, all by their hashes. */
 struct gossip_known {
   std::uint64_t Endpoint = 0;
@@ -79,12 +86,13 @@
   std::vector<gossip_rollout> Rollouts;
   std::vector<gossip_crash> Crashes;
   std::vector<gossip_health> Health;
+  std::vector<gossip_load> Loads;
   std::vector<gossip_known> Known;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, PeerHttpAddress, IsReady,
                  IsStoreLost, WantsVms, Demand, Rollouts, Crashes, Health,
-                 Known, Vms)
+                 Loads, Known, Vms)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or gives them. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -192,6 +192,7 @@
           asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
       Fleet.endpoints().expire(Now);
+      Fleet.refreshLoads(Now);
       Path.noticeLate(Now);
       Fleet.endpoints().judge(Now, [&](const fleet_endpoint &Endpoint) {
         const auto Seen = Endpoint.Health.total(Now);
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -327,7 +327,9 @@
                           Now);
     if (Meaning == answer_meaning::Final) {
       Poison.addAnswer(Pass.Fingerprint, Now);
-      if (Pass.Route->IsSticky &&
+      const bool IsSuccess =
+          Result.Reply.Status >= 200 && Result.Reply.Status < 300;
+      if (Pass.Route->IsSticky && IsSuccess &&
           Endpoint.addKnownObject(Pass.ObjectHash, Now) &&
           KnownNews.size() < MaxKnownNews)
         KnownNews.push_back({Endpoint.Hash, Pass.ObjectHash});
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -26,6 +26,7 @@
 constexpr double ExpectedTellers = 2;
 // Endpoints told of in a message, so that it fits a datagram without fragments.
 constexpr std::size_t MaxHealth = 24;
+constexpr std::size_t MaxLoads = 64;
 // Lenders that are asked one after the other for one request, and how long each
 // has: two ways between regions and a turn of its processor.
 constexpr std::size_t MaxLendersNear = 3;
@@ -185,6 +186,8 @@
     Message.Rollouts.push_back(toGossip(Rollout));
   Message.Crashes = std::exchange(Crashes, {});
   Fleet.endpoints().forEach([&](const fleet_endpoint &Endpoint) {
+    if (Endpoint.InFlight > 0 && Message.Loads.size() < MaxLoads)
+      Message.Loads.push_back({Endpoint.Hash, Endpoint.InFlight});
     if (!Endpoint.Health.isWorthTelling(Now) ||
         Message.Health.size() >= MaxHealth)
       return;
@@ -349,6 +352,10 @@
         Found->second.order().To.str() == Rollout.To)
       Found->second.applyPeer(Message.Name, toReport(Rollout));
   }
+  std::vector<endpoint_load> Loads;
+  for (const auto &Load : Message.Loads)
+    Loads.push_back({Load.Endpoint, Load.InFlight});
+  Fleet.applyLoads(Vm.Name, std::move(Loads), Now);
   for (const auto &Known : Message.Known)
     if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
       for (const auto Object : Known.Objects)
--- a/src/placing/endpoint_registry.cpp
+++ b/src/placing/endpoint_registry.cpp
@@ -52,9 +52,10 @@
 }
 
 unsigned fleet_endpoint::knownLoad(time_point Now) const {
+  const unsigned Told = InFlight + PeerInFlight;
   if (Now - LoadAt > LoadTrust)
-    return InFlight;
-  return std::max(InFlight, Load.Running + Load.Waiting);
+    return Told;
+  return std::max(Told, Load.Running + Load.Waiting);
 }
 
 std::string endpoint_registry::apply(const endpoint_record &Record,
--- a/src/placing/placement.cpp
+++ b/src/placing/placement.cpp
@@ -128,8 +128,8 @@
   const auto Order = orderCandidates(Endpoints, Request, Limits, Options, Now);
   if (Order.empty())
     return {placement_result::NoEndpoint, nullptr};
-  endpoint_pointer LeastLoaded;
-  double LeastLoad = std::numeric_limits<double>::max();
+  endpoint_pointer Cheapest;
+  double LeastCost = std::numeric_limits<double>::max();
   std::size_t Asked = 0;
   for (const bool WantsHealthy : {true, false}) {
     for (const auto &Candidate : Order) {
@@ -137,23 +137,29 @@
       if (isHealthy(*Endpoint, Now) != WantsHealthy)
         continue;
       if (Endpoint->isCold(Now)) {
-        if (!isColdSendDue(*Endpoint, Limits, Now))
+        if (Cheapest || !isColdSendDue(*Endpoint, Limits, Now))
           continue;
         countColdSend(*Endpoint, Limits, Now);
         return {placement_result::Placed, Endpoint};
       }
+      // Where all are busy, the time until the answer decides: waiting where
+      // the object is known against running it from nothing.
       const double Load = loadOf(*Endpoint, Now);
-      if (Load < (Candidate.IsKnowing ? Options.KnownFullAt : Options.FullAt))
+      const double Cost =
+          (Candidate.IsKnowing ? 1.0 : Options.NewObjectCost) * (1 + Load);
+      const bool IsFree =
+          Load < (Candidate.IsKnowing ? Options.KnownFullAt : Options.FullAt);
+      if (IsFree && Cost < LeastCost)
         return {placement_result::Placed, Endpoint};
-      if (Load < LeastLoad) {
-        LeastLoad = Load;
-        LeastLoaded = Endpoint;
+      if (Cost < LeastCost) {
+        LeastCost = Cost;
+        Cheapest = Endpoint;
       }
-      if (++Asked >= Options.Choices)
-        return {placement_result::Placed, LeastLoaded};
+      if (!Candidate.IsKnowing && ++Asked >= Options.Choices)
+        break;
     }
-    if (LeastLoaded)
-      return {placement_result::Placed, LeastLoaded};
+    if (Cheapest)
+      return {placement_result::Placed, Cheapest};
   }
   return {placement_result::AllFull, nullptr};
 }
