--- a/tests/admission/demand_quota_test.cpp
+++ b/tests/admission/demand_quota_test.cpp
@@ -49,7 +49,9 @@
   /** @returns the most that was admitted in a window, over what is allowed. */
   double worstWindow() const { return Worst; }
   double refusedShare() const {
-    return Offered == 0 ? 0 : static_cast<double>(Refused) / Offered;
+    return Offered == 0
+               ? 0
+               : static_cast<double>(Refused) / static_cast<double>(Offered);
   }
   void forgetRefusals() { Offered = Refused = 0; }
 
@@ -146,6 +148,7 @@
     quota_fleet Fleet(10, Terms, 5);
     // Ten VMs with uneven parts of 60% of the rate.
     std::vector<double> Rates;
+    Rates.reserve(10);
     for (int Vm = 0; Vm < 10; ++Vm)
       Rates.push_back(0.6 * Rate * (Vm < 2 ? 0.25 : 0.0625));
     for (int Played = 0; Played < 5 * StepsPerSecond; ++Played)
