Measure what each kind of answer costs an ingress VM

`sesamepaddle-lab measure ingress` runs one VM and an endpoint on loopback and prints the processor time of the VM's thread for each kind of answer.

--- a/lab/measure/all_measurements.cpp
+++ b/lab/measure/all_measurements.cpp
@@ -12,6 +12,7 @@
   return {
       makeCostsMeasurement(),
       makePathMeasurement(),
+      makeIngressMeasurement(),
       {"shares", "distribution of fleet-wide rate limits over VMs",
        runSharesMeasurement},
       {"upstreams", "policies for choosing an upstream endpoint",
--- a/lab/measure/product_measurements.h
+++ b/lab/measure/product_measurements.h
@@ -11,6 +11,9 @@
 /** Latency of requests through a running entry VM, and lookups per core. */
 measurement makePathMeasurement();
 
+/** Processor time of an ingress VM for each kind of answer. */
+measurement makeIngressMeasurement();
+
 } // namespace sesamepaddle
 
 #endif
