--- a/include/sesamepaddle/admission/admission.h
+++ b/include/sesamepaddle/admission/admission.h
@@ -9,5 +9,6 @@
 
 #include "sesamepaddle/admission/attempt_budget.h"
 #include "sesamepaddle/admission/demand_quota.h"
+#include "sesamepaddle/admission/overload_gate.h"
 
 #endif
--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "sesamepaddle/admission/attempt_budget.h"
 #include "sesamepaddle/admission/demand_quota.h"
+#include "sesamepaddle/admission/overload_gate.h"
 #include "sesamepaddle/ingress/ingress_options.h"
 #include "sesamepaddle/load_balancing/endpoint_registry.h"
 #include "sesamepaddle/load_balancing/placement.h"
@@ -29,6 +30,7 @@
   std::string GossipAddress;
   std::string PeerHttpAddress;
   bool IsReady = false;
+  bool IsBusy = false;      ///< short of processor time
   bool IsStoreLost = false; ///< its latest attempt to reach the store failed
   time_point LastHeard{};   ///< of its latest message; zero: never heard
   time_point FirstKnown{};  ///< arrival of its first message
@@ -110,6 +112,7 @@
   endpoint_registry &endpoints() { return Registry; }
   demand_quota &quota() { return Quota; }
   attempt_budget &attempts() { return Attempts; }
+  overload_gate &overload() { return Overload; }
   std::map<service_name, fleet_rollout> &rollouts() { return Rollouts; }
   const std::map<vm_name, known_vm> &vms() const { return Vms; }
   const std::set<failure_domain_name> &evacuated() const { return Evacuated; }
@@ -148,10 +151,10 @@
                         const placement_request &Request, time_point Now);
 
   /** @returns the addresses of the VMs that a caller in @p Region and @p Domain
-      should use, closest first. */
+      should use, closest first. Leaves out some of the busy ones. */
   std::vector<std::string> callerAddresses(const region_name &Region,
                                            const failure_domain_name &Domain,
-                                           time_point Now) const;
+                                           time_point Now);
 
   bool IsDraining = false; ///< this VM is shutting down
 
@@ -183,6 +186,7 @@
   endpoint_registry Registry;
   demand_quota Quota;
   attempt_budget Attempts;
+  overload_gate Overload;
   std::map<service_name, fleet_rollout> Rollouts;
   std::map<service_name, recorded_rollout> Recorded; ///< final outcomes
   std::map<vm_name, known_vm> Vms;
--- a/include/sesamepaddle/net/http_message.h
+++ b/include/sesamepaddle/net/http_message.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPADDLE_NET_HTTP_MESSAGE_H
 #define SESAMEPADDLE_NET_HTTP_MESSAGE_H
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,11 @@
     Connection field lists, and the framing fields. */
 void removeHopByHopHeaders(http_headers &Headers);
 
+/** Appends to @p Head the lines of all fields but those that
+    removeHopByHopHeaders() removes and those named in @p Excluded. */
+void appendForwardedHeaders(std::string &Head, const http_headers &Headers,
+                            std::span<const std::string_view> Excluded);
+
 /** A request with its whole body. */
 struct http_request {
   std::string Method = "GET";
--- a/include/sesamepaddle/net/net.h
+++ b/include/sesamepaddle/net/net.h
@@ -6,6 +6,7 @@
 #define SESAMEPADDLE_NET_NET_H
 
 #include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/net/deadline_queue.h"
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_client.h"
 #include "sesamepaddle/net/http_message.h"
--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -16,17 +16,16 @@
 
 namespace {
 
-// Size of one read from the socket.
-constexpr std::size_t ReadBytes = 8 * 1024;
-// Bytes that are read ahead while a request is in progress.
+// Size of one read beyond the first, of a request with a body.
+constexpr std::size_t BodyReadBytes = 32 * 1024;
+// Bytes that are read ahead while a request is in progress, and bound on bytes
+// that the parser has not taken.
 constexpr std::size_t MaxBuffered = 64 * 1024;
 // Time to receive a whole body: 64 MB over a link of 20 Mbit/s.
 constexpr std::chrono::milliseconds BodyTimeout{30'000};
 // A caller that does not take its whole answer within this time counts as
 // disconnected.
 constexpr std::chrono::milliseconds WriteTimeout{10'000};
-// Fraction of a VM's memory that all request bodies together may use.
-constexpr double BodyMemoryFraction = 0.4;
 // After an error reply the session keeps reading for this long: closing a
 // socket with unread bytes resets the connection, and the caller could lose the
 // reply.
@@ -41,9 +40,7 @@
 
 caller_session::caller_session(tcp::socket Accepted,
                                std::shared_ptr<session_context> Shared)
-    : Socket(std::move(Accepted)), Context(std::move(Shared)),
-      ReadEvent(Socket.get_executor()),
-      BufferSpaceEvent(Socket.get_executor()) {
+    : Socket(std::move(Accepted)), Context(std::move(Shared)) {
   ++Context->Open;
 }
 
@@ -56,87 +53,110 @@
 
 awaitable<void> caller_session::run() {
   const auto Self = shared_from_this();
-  asio::co_spawn(
-      Socket.get_executor(), readLoop(),
-      [Self](const std::exception_ptr &) { Self->IsReaderDone = true; });
   for (bool KeepAlive = true; KeepAlive;) {
-    parser Parser;
-    const auto End = co_await readRequest(Parser);
+    incoming Incoming(Context->Bodies);
+    const auto End = co_await readRequest(Incoming);
     if (End != read_end::Whole) {
       co_await refuse(End);
       break;
     }
-    const std::size_t Held = Parser.get().body().size();
-    Context->BodyBytesHeld += Held;
-    KeepAlive = co_await serveOne(Parser);
-    Context->BodyBytesHeld -= Held;
+    KeepAlive = co_await serveOne(Incoming);
   }
   boost::system::error_code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+  if (!IsClosed)
+    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket.close(Ignored);
-  BufferSpaceEvent.cancel();
 }
 
-// Also reads while a request is in progress, as only a read shows that the
-// caller has disconnected.
-awaitable<void> caller_session::readLoop() {
-  const auto Self = shared_from_this();
-  while (!IsClosed) {
-    boost::system::error_code Error;
-    if (Buffer.size() >= MaxBuffered) {
-      BufferSpaceEvent.expires_at(asio::steady_timer::time_point::max());
-      co_await BufferSpaceEvent.async_wait(
-          asio::redirect_error(asio::use_awaitable, Error));
-      if (!Socket.is_open())
-        break;
-      continue;
-    }
-    // Waits for data before it allocates buffer space, so that an idle
-    // connection takes none.
-    co_await Socket.async_wait(
-        tcp::socket::wait_read,
-        asio::redirect_error(asio::use_awaitable, Error));
-    std::size_t Bytes = 0;
-    if (!Error)
-      Bytes = Socket.read_some(Buffer.prepare(ReadBytes), Error);
-    if (Error == asio::error::would_block || Error == asio::error::try_again)
-      continue;
-    Buffer.commit(Bytes);
-    if (Error) {
-      IsClosed = true;
-      if (Cancel)
-        Cancel->cancel();
-    }
-    ReadEvent.cancel();
-  }
+void caller_session::wake() {
+  boost::system::error_code Ignored;
+  if (IsIdle)
+    Socket.cancel(Ignored);
 }
 
-awaitable<bool> caller_session::waitForData(time_point Until) {
-  const auto Left = Until - boot_clock::now();
-  if (Left <= duration::zero())
-    co_return false;
+awaitable<bool> caller_session::receive(time_point Until) {
+  const auto Timer = Context->Deadlines.add(Until, [this] {
+    boost::system::error_code Ignored;
+    Socket.cancel(Ignored);
+  });
   boost::system::error_code Error;
-  ReadEvent.expires_after(Left);
-  co_await ReadEvent.async_wait(
+  const std::size_t Bytes = co_await Socket.async_read_some(
+      asio::buffer(ReadSpace),
       asio::redirect_error(asio::use_awaitable, Error));
-  co_return Error == asio::error::operation_aborted;
+  if (Error == asio::error::operation_aborted)
+    co_return false;
+  if (Error) {
+    IsClosed = true;
+    co_return true;
+  }
+  Buffer.commit(asio::buffer_copy(Buffer.prepare(Bytes),
+                                  asio::buffer(ReadSpace.data(), Bytes)));
+  if (Bytes == ReadSpace.size())
+    readAvailable();
+  co_return true;
+}
+
+void caller_session::readAvailable() {
+  boost::system::error_code Error;
+  while (!IsClosed && Buffer.size() < MaxBuffered) {
+    const std::size_t Bytes =
+        Socket.read_some(Buffer.prepare(BodyReadBytes), Error);
+    Buffer.commit(Bytes);
+    if (Error == asio::error::would_block || Error == asio::error::try_again)
+      return;
+    IsClosed = Error.failed();
+  }
+}
+
+// Only a read shows that the caller has disconnected.
+void caller_session::watch() {
+  if (IsClosed || Buffer.size() >= MaxBuffered)
+    return;
+  IsWatching = true;
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Self = shared_from_this(), Number = ++WatchNumber](
+                        const boost::system::error_code &Error) {
+                      if (Error || Number != Self->WatchNumber)
+                        return;
+                      Self->IsWatching = false;
+                      Self->readAvailable();
+                      if (Self->IsClosed && Self->Cancel)
+                        Self->Cancel->cancel();
+                      else if (Self->Cancel)
+                        Self->watch();
+                    });
+}
+
+void caller_session::stopWatching() {
+  if (!std::exchange(IsWatching, false))
+    return;
+  ++WatchNumber;
+  boost::system::error_code Ignored;
+  Socket.cancel(Ignored);
 }
 
 awaitable<caller_session::read_end> caller_session::waitForFirstByte() {
   const auto Until = boot_clock::now() + limits().IdleTimeout;
+  // A body may have grown it to tens of kilobytes.
+  if (Buffer.size() == 0 && Buffer.capacity() > HeadBytes)
+    Buffer.shrink_to_fit();
   while (Buffer.size() == 0) {
     if (IsClosed)
       co_return read_end::Closed;
     if (Context->IsClosingIdle)
       co_return read_end::Idle;
-    if (!co_await waitForData(Until))
+    IsIdle = true;
+    const bool HasBytes = co_await receive(Until);
+    IsIdle = false;
+    if (!HasBytes && boot_clock::now() >= Until)
       co_return read_end::Idle;
   }
   co_return read_end::Whole;
 }
 
 caller_session::read_end
-caller_session::checkFraming(const parser &Parser) const {
+caller_session::checkFraming(const incoming &Incoming) const {
+  const auto &Parser = Incoming.Parser;
   const auto &Message = Parser.get();
   // The parser assumes no body for a transfer coding other than chunked, and
   // would parse the body as the next request (request smuggling).
@@ -146,67 +166,85 @@
     return read_end::Malformed;
   if (Message.count(http::field::host) != 1)
     return read_end::Malformed;
+  // A body that does not fit is refused before it is sent. Memory is taken only
+  // as the body arrives, so that slow senders hold none of others.
   const auto Length = Parser.content_length();
-  const auto Most =
-      static_cast<double>(Context->Fleet.options().Bounds.MemoryBytes) *
-      BodyMemoryFraction;
-  if (Length && static_cast<double>(Context->BodyBytesHeld + *Length) > Most)
+  if (Length && *Length > Context->Bodies.available() + Incoming.Held.bytes())
+    return read_end::Overloaded;
+  return read_end::Whole;
+}
+
+caller_session::read_end caller_session::parseBuffer(incoming &Incoming,
+                                                     bool &HasProgress) {
+  auto &Parser = Incoming.Parser;
+  beast::error_code Error;
+  const std::size_t Used = Parser.put(Buffer.data(), Error);
+  Buffer.consume(Used);
+  HasProgress = Used > 0;
+  if (Error == http::error::header_limit)
+    return read_end::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return read_end::BodyTooLarge;
+  if (Error && Error != http::error::need_more)
+    return read_end::Malformed;
+  if (!Incoming.Held.resize(Parser.get().body().size()))
     return read_end::Overloaded;
+  // An endless line, for example of a chunk's extension.
+  if (!HasProgress && Buffer.size() >= MaxBuffered)
+    return read_end::Malformed;
   return read_end::Whole;
 }
 
 awaitable<caller_session::read_end>
-caller_session::readRequest(parser &Parser) {
+caller_session::readRequest(incoming &Incoming) {
   const auto Idle = co_await waitForFirstByte();
   if (Idle != read_end::Whole)
     co_return Idle;
+  const auto Now = boot_clock::now();
+  Incoming.Arrival = Now - Context->Monitor->noteRequest(Now);
+  auto &Parser = Incoming.Parser;
   const auto Limits = limits();
   Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser.body_limit(Limits.BodyBytes);
   Parser.eager(true);
-  auto Until = boot_clock::now() + Limits.HeaderTimeout;
-  bool IsHeaderChecked = false;
+  auto Until = Now + Limits.HeaderTimeout;
   while (!Parser.is_done()) {
     if (Buffer.size() > 0) {
-      beast::error_code Error;
-      const std::size_t Used = Parser.put(Buffer.data(), Error);
-      Buffer.consume(Used);
-      BufferSpaceEvent.cancel();
-      if (Error == http::error::header_limit)
-        co_return read_end::HeaderTooLarge;
-      if (Error == http::error::body_limit)
-        co_return read_end::BodyTooLarge;
-      if (Error && Error != http::error::need_more)
-        co_return read_end::Malformed;
-      if (Parser.is_header_done() && !IsHeaderChecked) {
-        IsHeaderChecked = true;
+      bool HasProgress = false;
+      const auto End = parseBuffer(Incoming, HasProgress);
+      if (End != read_end::Whole)
+        co_return End;
+      if (Parser.is_header_done() &&
+          !std::exchange(Incoming.IsHeaderChecked, true)) {
+        if (const auto Framing = checkFraming(Incoming);
+            Framing != read_end::Whole)
+          co_return Framing;
         Until = boot_clock::now() + BodyTimeout;
-        if (const auto End = checkFraming(Parser); End != read_end::Whole)
-          co_return End;
-        if (beast::iequals(Parser.get()[http::field::expect], "100-continue") &&
-            !Parser.is_done()) {
+        if (!Parser.is_done() &&
+            beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
           static constexpr std::string_view Continue =
               "HTTP/1.1 100 Continue\r\n\r\n";
+          boost::system::error_code Ignored;
           co_await asio::async_write(
               Socket, asio::buffer(Continue),
-              asio::redirect_error(asio::use_awaitable, Error));
+              asio::redirect_error(asio::use_awaitable, Ignored));
         }
       }
-      if (Used > 0 || Parser.is_done())
+      if (HasProgress || Parser.is_done())
         continue;
     }
     if (IsClosed)
       co_return read_end::Closed;
-    if (!co_await waitForData(Until) && boot_clock::now() >= Until)
+    if (!co_await receive(Until) && boot_clock::now() >= Until)
       co_return read_end::Slow;
   }
   co_return read_end::Whole;
 }
 
-awaitable<bool> caller_session::serveOne(parser &Parser) {
-  auto &Message = Parser.get();
+awaitable<bool> caller_session::serveOne(incoming &Incoming) {
+  auto &Message = Incoming.Parser.get();
   ingress_request Request;
-  Request.Arrival = boot_clock::now();
+  Request.Arrival = Incoming.Arrival;
   Request.Message.Method = std::string(Message.method_string());
   Request.Message.Target = std::string(Message.target());
   for (const auto &Field : Message)
@@ -214,13 +252,24 @@
         {std::string(Field.name_string()), std::string(Field.value())});
   Request.Message.Body = std::move(Message.body());
   Cancel = std::make_shared<cancel_source>();
+  Cancel->LookForCancel = [this] {
+    readAvailable();
+    if (IsClosed)
+      Cancel->cancel();
+  };
   if (IsClosed)
     Cancel->cancel();
   Request.Cancel = Cancel;
+  Request.OnWait = [this] {
+    if (!IsWatching)
+      watch();
+  };
   const bool IsHead = Request.Message.Method == "HEAD";
   const bool WantsKeepAlive = Message.keep_alive();
   const http_reply Reply = co_await Context->Path.run(std::move(Request));
+  stopWatching();
   const bool IsGone = Cancel->isCancelled();
+  Cancel->LookForCancel = nullptr;
   Cancel = nullptr;
   if (IsGone)
     co_return false;
@@ -231,13 +280,10 @@
 
 awaitable<bool> caller_session::write(const http_reply &Reply, bool KeepAlive,
                                       bool IsHead) {
-  http_headers Headers = Reply.Headers;
-  removeHopByHopHeaders(Headers);
   std::string Head =
       absl::StrCat("HTTP/1.1 ", Reply.Status, " ",
                    std::string(reasonPhrase(Reply.Status)), "\r\n");
-  for (const auto &Header : Headers)
-    absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
+  appendForwardedHeaders(Head, Reply.Headers, {});
   const bool HasBody = Reply.Status != 204 && Reply.Status != 304;
   if (HasBody && !IsHead)
     absl::StrAppend(&Head, "Content-Length: ", Reply.Body.size(), "\r\n");
@@ -248,14 +294,24 @@
                                                asio::buffer(Reply.Body)};
   if (!HasBody || IsHead)
     Buffers[1] = {};
-  const auto Self = shared_from_this();
-  asio::steady_timer Timer(Socket.get_executor(), WriteTimeout);
-  Timer.async_wait([Self](const boost::system::error_code &Error) {
-    boost::system::error_code Ignored;
-    if (!Error)
-      Self->Socket.close(Ignored);
-  });
+  // Most answers fit the socket's buffer.
   boost::system::error_code Error;
+  std::size_t Written = Socket.write_some(Buffers, Error);
+  if (Written == asio::buffer_size(Buffers))
+    co_return true;
+  if (Error && Error != asio::error::would_block &&
+      Error != asio::error::try_again)
+    co_return false;
+  for (auto &Part : Buffers) {
+    const auto Done = std::min(Written, Part.size());
+    Part += Done;
+    Written -= Done;
+  }
+  const auto Timer =
+      Context->Deadlines.add(boot_clock::now() + WriteTimeout, [this] {
+        boost::system::error_code Ignored;
+        Socket.close(Ignored);
+      });
   co_await asio::async_write(Socket, Buffers,
                              asio::redirect_error(asio::use_awaitable, Error));
   co_return !Error;
@@ -289,10 +345,8 @@
   boost::system::error_code Ignored;
   Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   const auto Until = boot_clock::now() + LingerTimeout;
-  while (!IsClosed && co_await waitForData(Until)) {
+  while (!IsClosed && co_await receive(Until))
     Buffer.consume(Buffer.size());
-    BufferSpaceEvent.cancel();
-  }
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -1,13 +1,17 @@
 #ifndef SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 #define SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 
+#include "ingress/body_memory.h"
+#include "ingress/loop_monitor.h"
 #include "ingress/request_path.h"
 #include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/net/deadline_queue.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <memory>
 
 namespace sesamepaddle {
@@ -16,8 +20,10 @@
 struct session_context {
   fleet_state &Fleet;
   request_path &Path;
-  std::size_t Open = 0;          ///< sessions that exist
-  std::size_t BodyBytesHeld = 0; ///< of requests that are being served
+  deadline_queue &Deadlines;
+  std::shared_ptr<loop_monitor> Monitor;
+  body_memory Bodies;
+  std::size_t Open = 0;       ///< sessions that exist
   bool IsClosingIdle = false; ///< the VM is draining: closes idle connections
 };
 
@@ -37,7 +43,7 @@
   awaitable<void> run();
 
   /** Makes an idle session check session_context::IsClosingIdle. */
-  void wake() { ReadEvent.cancel(); }
+  void wake();
 
 private:
   /** How reading a request ended. */
@@ -52,36 +58,54 @@
     Overloaded, ///< bodies already hold too much memory
   };
 
-  /** Fills the buffer until the connection ends. */
-  awaitable<void> readLoop();
-  /** Waits until data came, the connection ended or wake() was called.
-      @returns false when none of these happened before @p Until */
-  awaitable<bool> waitForData(time_point Until);
-  /** Reads one request into @p Parser. */
-  awaitable<read_end> readRequest(parser &Parser);
+  /** A request that is being read. */
+  struct incoming {
+    explicit incoming(body_memory &Memory) : Held(Memory) {}
+    parser Parser;
+    body_memory::holding Held; ///< memory of the body
+    time_point Arrival{};      ///< estimate, of the first byte
+    bool IsHeaderChecked = false;
+  };
+
+  /** Waits for bytes and appends them to the buffer.
+      @returns false when none came before @p Until, or after wake() */
+  awaitable<bool> receive(time_point Until);
+  /** Appends the bytes that have arrived to the buffer, without waiting. */
+  void readAvailable();
+  /** Watches for the caller's disconnect while a request is in progress. */
+  void watch();
+  void stopWatching();
+
+  /** Reads one request into @p Incoming. */
+  awaitable<read_end> readRequest(incoming &Incoming);
   /** @returns Whole when a request has begun, else Closed or Idle. */
   awaitable<read_end> waitForFirstByte();
+  /** Parses what is in the buffer. @returns why the request must be refused, or
+      Whole, also when more bytes are needed */
+  read_end parseBuffer(incoming &Incoming, bool &HasProgress);
   /** Answers one request. @returns true when the connection may be kept */
-  awaitable<bool> serveOne(parser &Parser);
+  awaitable<bool> serveOne(incoming &Incoming);
   /** @returns true when the whole reply was written in time. */
   awaitable<bool> write(const http_reply &Reply, bool KeepAlive, bool IsHead);
   /** Sends the error reply for @p End, if it has one. */
   awaitable<void> refuse(read_end End);
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
-  read_end checkFraming(const parser &Parser) const;
+  read_end checkFraming(const incoming &Incoming) const;
   /** @returns the current configuration's limits, or the defaults. */
   caller_limits limits() const;
 
+  // A request without a body fits. An idle connection holds no more than this.
+  static constexpr std::size_t HeadBytes = 1'024;
+
   tcp::socket Socket;
   std::shared_ptr<session_context> Context;
-  // Timers that are cancelled to wake the coroutine that waits for them: when
-  // data came or the connection ended, and when the buffer has space again.
-  asio::steady_timer ReadEvent;
-  asio::steady_timer BufferSpaceEvent;
+  std::array<char, HeadBytes> ReadSpace{}; ///< target of receive()
   boost::beast::flat_buffer Buffer;
   std::shared_ptr<cancel_source> Cancel; ///< of the current request
+  unsigned WatchNumber = 0; ///< tells the current watch from ended ones
+  bool IsWatching = false;
+  bool IsIdle = false; ///< waits for the first byte of a request
   bool IsClosed = false;
-  bool IsReaderDone = false;
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/decision_log.h
+++ b/src/ingress/decision_log.h
@@ -16,9 +16,10 @@
 public:
   explicit decision_log(std::string_view Part) : Log(Part) {}
 
-  /** Writes @p Line, or counts it as dropped when the limit of the current
-      second is reached. */
-  void write(const std::string &Line, time_point Now) {
+  /** Writes the line that @p MakeLine returns, or counts it as dropped when the
+      limit of the current second is reached. The line is made only when it is
+      written: under overload most are not. */
+  template <typename Function> void write(Function MakeLine, time_point Now) {
     if (Now - SecondStart >= std::chrono::seconds(1)) {
       if (Dropped > 0)
         Log.warn("lines dropped=" + std::to_string(Dropped));
@@ -31,7 +32,7 @@
       return;
     }
     ++Written;
-    Log.info(Line);
+    Log.info(MakeLine());
   }
 
 private:
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t MinAddresses = 2;
 // Bound on the addresses in one directory response.
 constexpr std::size_t MaxAddresses = 64;
+// Probability that a directory response leaves out a busy VM. It keeps half of
+// its callers, so that they do not all move to its neighbours at once.
+constexpr double BusyOmission = 0.5;
 // VMs for which one VM reads the store. Few enough that sending an update to
 // all of them takes a small part of the reader's link.
 constexpr std::size_t VmsPerReader = 24;
@@ -288,9 +291,10 @@
 std::vector<std::string>
 fleet_state::callerAddresses(const region_name &Region,
                              const failure_domain_name &Domain,
-                             time_point Now) const {
+                             time_point Now) {
   struct candidate_address {
     int Distance; ///< 0: same failure domain, 1: same region, 2: another
+    bool IsBusy;
     std::string Address;
   };
   const auto DistanceOf = [&](const region_name &VmRegion,
@@ -303,29 +307,39 @@
   if (!IsDraining && Configuration)
     Candidates.push_back(
         {DistanceOf(Options.Vm.Region, Options.Vm.FailureDomain),
-         Options.Vm.CallerAddress});
+         Overload.isBusy(Now), Options.Vm.CallerAddress});
   for (const auto &[Name, Vm] : Vms)
     if (Vm.IsReady && isHeard(Vm, Now))
-      Candidates.push_back(
-          {DistanceOf(Vm.Region, Vm.FailureDomain), Vm.CallerAddress});
+      Candidates.push_back({DistanceOf(Vm.Region, Vm.FailureDomain), Vm.IsBusy,
+                            Vm.CallerAddress});
   std::stable_sort(
       Candidates.begin(), Candidates.end(),
       [](const candidate_address &Left, const candidate_address &Right) {
         return Left.Distance < Right.Distance;
       });
   std::vector<std::string> Addresses;
+  std::vector<std::string> LeftOut; // busy VMs, in case no other is left
+  std::size_t IdleVms = 0;
   int Distance = 0;
   for (auto &Vm : Candidates) {
-    const bool IsEnough = Addresses.size() >= MinAddresses;
+    const bool IsEnough = IdleVms >= MinAddresses;
     if (Addresses.size() >= MaxAddresses ||
         (Vm.Distance > Distance && IsEnough))
       break;
     // Callers are sent to another region only when theirs has no VM left.
-    if (Vm.Distance == 2 && !Addresses.empty() && Distance < 2)
+    const bool HasAny = !Addresses.empty() || !LeftOut.empty();
+    if (Vm.Distance == 2 && HasAny && Distance < 2)
       break;
     Distance = Vm.Distance;
+    if (Vm.IsBusy && draw() < BusyOmission) {
+      LeftOut.push_back(std::move(Vm.Address));
+      continue;
+    }
+    IdleVms += Vm.IsBusy ? 0 : 1;
     Addresses.push_back(std::move(Vm.Address));
   }
+  if (Addresses.empty())
+    return LeftOut;
   return Addresses;
 }
 
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -74,7 +74,7 @@
 
 /** The state that a VM sends to the other VMs, in one datagram. */
 struct gossip_message {
-  std::uint8_t Format = 4;
+  std::uint8_t Format = 5;
   std::string Name;
   std::uint64_t Incarnation = 0;
   std::string Region;
@@ -83,6 +83,7 @@
   std::string GossipAddress;
   std::string PeerHttpAddress;
   bool IsReady = false;
+  bool IsBusy = false; ///< short of processor time
   bool IsStoreLost = false;
   bool WantsVms = false; ///< asks the receiver for the VMs that it knows
   /** Hundredths of a request per second, by the hash of the workspace's name.
@@ -95,7 +96,7 @@
   std::vector<gossip_known_objects> Known;
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
-                 CallerAddress, GossipAddress, PeerHttpAddress, IsReady,
+                 CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsBusy,
                  IsStoreLost, WantsVms, Demand, Rollouts, Crashes, Health,
                  Loads, Known, Vms)
 };
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -32,6 +32,17 @@
 constexpr int UrgentUpdateTicks = 2;
 // Maximum of connections waiting to be accepted; the kernel may allow fewer.
 constexpr int Backlog = 1'024;
+// Connections accepted in one pass of the event loop, so that those which are
+// open already get their turn.
+constexpr int MaxAcceptsPerPass = 64;
+// Fraction of a VM's memory that all request bodies together may use. A body is
+// held once, until its answer.
+constexpr double BodyMemoryFraction = 0.4;
+
+std::size_t bodyMemoryLimit(const fleet_bounds &Bounds) {
+  return static_cast<std::size_t>(static_cast<double>(Bounds.MemoryBytes) *
+                                  BodyMemoryFraction);
+}
 
 } // namespace
 
@@ -41,10 +52,13 @@
   implementation(worker_pool &Pool, ingress_options Options,
                  platform_handler Extra)
       : Pool(Pool), Fleet(std::move(Options)),
-        Upstreams(Fleet.options().Fields.RequestId),
+        Deadlines(Pool.context(0).get_executor()),
+        Upstreams(Fleet.options().Fields.RequestId, Deadlines),
         Path(Fleet, Upstreams, Metrics, Decisions),
-        Sessions(
-            std::make_shared<session_context>(session_context{Fleet, Path})),
+        Sessions(std::make_shared<session_context>(session_context{
+            Fleet, Path, Deadlines,
+            std::make_shared<loop_monitor>(Pool.context(0), Fleet.overload()),
+            body_memory(bodyMemoryLimit(Fleet.options().Bounds))})),
         Gossip(std::make_shared<vm_gossip>(Pool.context(0), Fleet, Path)),
         Acceptor(Pool.context(0)), Tick(Pool.context(0)),
         Extra(std::move(Extra)) {}
@@ -101,6 +115,8 @@
       Acceptor.bind(*Endpoint, Error);
     if (!Error)
       Acceptor.listen(Backlog, Error);
+    if (!Error)
+      Acceptor.non_blocking(true, Error);
     if (Error)
       return makeFailure(net_failure::ListenFailed,
                          absl::StrCat(Address, ": ", Error.message()));
@@ -162,42 +178,58 @@
         Fleet.endpoints().size(), "\nsesamepaddle_vms ", Fleet.vmCount(),
         "\nsesamepaddle_configuration_version ",
         Fleet.configuration() ? Fleet.configuration()->version() : 0,
-        "\nsesamepaddle_body_bytes_held ", Sessions->BodyBytesHeld, "\n");
+        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
   }
 
+  // Accepts all waiting connections in one pass: with one connection a pass, a
+  // busy VM would leave callers in the listen queue for seconds.
   awaitable<void> acceptLoop() {
     while (Acceptor.is_open()) {
       boost::system::error_code Error;
-      tcp::socket Socket = co_await Acceptor.async_accept(
+      co_await Acceptor.async_wait(
+          tcp::acceptor::wait_read,
           asio::redirect_error(asio::use_awaitable, Error));
       if (Error == asio::error::operation_aborted)
         co_return;
-      if (Error) {
-        // Most likely out of file descriptors: wait until some are freed.
-        asio::steady_timer Pause(Pool.context(0), milliseconds(20));
-        co_await Pause.async_wait(asio::use_awaitable);
-        continue;
+      for (int Accepted = 0; !Error && Accepted < MaxAcceptsPerPass;
+           ++Accepted) {
+        tcp::socket Socket(Pool.context(0));
+        Acceptor.accept(Socket, Error);
+        if (!Error)
+          startSession(std::move(Socket));
       }
-      boost::system::error_code Ignored;
-      Socket.set_option(tcp::no_delay(true), Ignored);
-      Socket.non_blocking(true, Ignored);
-      const auto Session =
-          std::make_shared<caller_session>(std::move(Socket), Sessions);
-      std::erase_if(OpenSessions,
-                    [](const auto &Entry) { return Entry.expired(); });
-      OpenSessions.push_back(Session);
-      asio::co_spawn(Pool.context(0), Session->run(),
-                     [Session](const std::exception_ptr &) {});
+      const bool IsEmpty =
+          Error == asio::error::would_block || Error == asio::error::try_again;
+      if (!Error || IsEmpty)
+        continue;
+      // Most likely out of file descriptors: wait until some are freed.
+      Log.warn("no connection accepted error=" + Error.message());
+      asio::steady_timer Pause(Pool.context(0), milliseconds(20));
+      co_await Pause.async_wait(asio::use_awaitable);
     }
   }
 
+  void startSession(tcp::socket Socket) {
+    boost::system::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    Socket.non_blocking(true, Ignored);
+    const auto Session =
+        std::make_shared<caller_session>(std::move(Socket), Sessions);
+    OpenSessions.push_back(Session);
+    asio::co_spawn(Pool.context(0), Session->run(),
+                   [Session](const std::exception_ptr &) {});
+  }
+
   awaitable<void> tickLoop() {
+    Sessions->Monitor->noteTick(boot_clock::now(),
+                                boot_clock::now() + TickInterval);
     for (int TickCount = 0;; ++TickCount) {
       boost::system::error_code Error;
       Tick.expires_after(TickInterval);
       co_await Tick.async_wait(
           asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
+      Sessions->Monitor->noteTick(Now, Now + TickInterval);
       Fleet.endpoints().expire(Now);
       Fleet.refreshLoads(Now);
       Path.countLateRequests(Now);
@@ -226,6 +258,8 @@
       // Once a second.
       if (TickCount % 10 == 0)
         Upstreams.sweep(Now);
+      std::erase_if(OpenSessions,
+                    [](const auto &Entry) { return Entry.expired(); });
       if (Fleet.IsDraining && OnDrained)
         advanceDrain(Now);
     }
@@ -255,6 +289,7 @@
 
   worker_pool &Pool;
   fleet_state Fleet;
+  deadline_queue Deadlines;
   upstream_pool Upstreams;
   metrics Metrics;
   decision_log Decisions{"ingress"};
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_split.h"
 
 #include <algorithm>
+#include <array>
 
 namespace sesamepaddle {
 
@@ -117,7 +118,7 @@
   time_point Deadline;
   /** Hash of service and object, or of the request id if there is no object. */
   std::uint64_t ObjectHash = 0;
-  std::string Fingerprint; ///< the same for equal requests of a workspace
+  std::string Fingerprint; ///< empty until fingerprintOf() is called
   std::vector<endpoint_pointer> Tried;
   unsigned SentAttempts = 0; ///< attempts that reached an endpoint
   int Unreached = 0;         ///< attempts that did not
@@ -170,9 +171,36 @@
   return std::nullopt;
 }
 
+std::optional<http_reply>
+request_path::refuseIfBusy(const request_state &State) {
+  // A workspace's priority comes before that of the route.
+  const int Priority =
+      State.Workspace != nullptr && State.Workspace->Priority > 0
+          ? State.Workspace->Priority
+          : State.Route->Priority;
+  if (Fleet.overload().admits(Priority, boot_clock::now()))
+    return std::nullopt;
+  // The caller's next attempt most likely reaches another VM.
+  return refuse(State, 503, "vm-busy", ShortRetrySeconds);
+}
+
+// Made when it is first needed, as it reads the whole body.
+const std::string &request_path::fingerprintOf(request_state &State) const {
+  const auto &Message = State.Request.Message;
+  if (State.Fingerprint.empty())
+    State.Fingerprint = std::to_string(
+        stableHash(absl::StrCat(
+            State.Workspace != nullptr ? State.Workspace->Name.str() : "", " ",
+            Message.Method, " ", Message.Target, " ",
+            toAbsl(
+                findHeader(Message.Headers, Fleet.options().Fields.Object)))) ^
+        contentHash(Message.Body));
+  return State.Fingerprint;
+}
+
 awaitable<std::optional<http_reply>> request_path::admit(request_state &State) {
-  const auto Now = State.Request.Arrival;
-  if (!Poison.mayRun(State.Fingerprint, Now))
+  const auto Now = boot_clock::now();
+  if (Poison.suspects() > 0 && !Poison.mayRun(fingerprintOf(State), Now))
     co_return refuse(State, 503, "crashes-endpoints", 0);
   if (State.Workspace == nullptr)
     co_return std::nullopt;
@@ -183,6 +211,7 @@
     co_return std::nullopt;
   const auto Lenders = Fleet.quota().lendersToAsk(Workspace, Terms, Now);
   if (Borrow && Lenders > 0) {
+    State.Request.OnWait();
     const bool IsAdmitted = co_await Borrow(Workspace, Lenders);
     if (IsAdmitted)
       co_return std::nullopt;
@@ -219,12 +248,6 @@
                                   const fleet_endpoint &Endpoint) const {
   const auto &Fields = Fleet.options().Fields;
   const auto &Message = State.Request.Message;
-  http_headers Headers = Message.Headers;
-  removeHopByHopHeaders(Headers);
-  for (const auto &Name :
-       {Fields.Key, Fields.Workspace, Fields.ExpectedEndpoint,
-        Fields.DeadlineMs, Fields.RequestId, std::string("Expect")})
-    removeHeader(Headers, Name);
   const auto Left =
       std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(
                                     State.Deadline - boot_clock::now())
@@ -232,8 +255,10 @@
   auto Request = std::make_shared<upstream_request>();
   std::string &Head = Request->Head;
   absl::StrAppend(&Head, Message.Method, " ", Message.Target, " HTTP/1.1\r\n");
-  for (const auto &Header : Headers)
-    absl::StrAppend(&Head, Header.Name, ": ", Header.Value, "\r\n");
+  const std::array<std::string_view, 6> SetByVm = {
+      Fields.Key,        Fields.Workspace, Fields.ExpectedEndpoint,
+      Fields.DeadlineMs, Fields.RequestId, "Expect"};
+  appendForwardedHeaders(Head, Message.Headers, SetByVm);
   absl::StrAppend(&Head, Fields.RequestId, ": ", State.RequestId, "\r\n");
   absl::StrAppend(&Head, Fields.DeadlineMs, ": ", Left, "\r\n");
   absl::StrAppend(&Head, Fields.ExpectedEndpoint, ": ",
@@ -269,6 +294,7 @@
   const auto LateAt =
       IsKnown ? boot_clock::now() + Objective : time_point::max();
   const auto Entry = Sent.insert(Sent.end(), {Endpoint, LateAt, false});
+  State.Request.OnWait();
   auto Result = co_await Upstreams.exchange(
       EndpointRun, Record.Address, Request, Limits, State.Request.Cancel);
   --Endpoint->InFlight;
@@ -282,7 +308,7 @@
     Upstreams.discard(EndpointRun);
   if (Result.End == exchange_end::Lost)
     asio::co_spawn(co_await asio::this_coro::executor,
-                   verifyCrash(Endpoint, State.Fingerprint), asio::detached);
+                   verifyCrash(Endpoint, fingerprintOf(State)), asio::detached);
   co_return Result;
 }
 
@@ -305,10 +331,14 @@
   const crash_evidence Evidence{Fingerprint, Record.Id.str()};
   if (!Poison.addCrash(Evidence, Now))
     co_return;
-  Log.write(absl::StrCat("crash endpoint=", Record.Id.str(), " fingerprint=",
-                         Fingerprint, " suspects=", Poison.suspects(),
-                         " refused=", !Poison.mayRun(Fingerprint, Now)),
-            Now);
+  Log.write(
+      [&] {
+        return absl::StrCat("crash endpoint=", Record.Id.str(),
+                            " fingerprint=", Fingerprint,
+                            " suspects=", Poison.suspects(),
+                            " refused=", !Poison.mayRun(Fingerprint, Now));
+      },
+      Now);
   if (OnCrash)
     OnCrash(Evidence);
 }
@@ -360,7 +390,7 @@
                               isFaultStatus(Result.Reply.Status),
                           Now);
     if (Meaning == answer_meaning::Final) {
-      Poison.addAnswer(State.Fingerprint, Now);
+      Poison.addAnswer(fingerprintOf(State), Now);
       const bool IsSuccess =
           Result.Reply.Status >= 200 && Result.Reply.Status < 300;
       if (State.Route->IsSticky && IsSuccess &&
@@ -411,6 +441,17 @@
       State.Service = State.Route->serviceFor(Fleet.draw());
       State.Version = Fleet.drawVersion(State.Service);
     }
+    // The request may have waited in the socket of a busy VM, or for a token, a
+    // connection or another endpoint.
+    if (State.Request.Cancel->checkCancelled()) {
+      State.Reason += "+caller-left";
+      co_return unknownOutcomeReply(State);
+    }
+    if (Now >= State.Deadline) {
+      State.Reason += "+no-time";
+      co_return State.MayHaveRun ? unknownOutcomeReply(State)
+                                 : refuse(State, 503, "deadline", 0);
+    }
     placement_request Wanted;
     Wanted.ObjectHash = State.ObjectHash;
     Wanted.CallerRegion = Fleet.options().Vm.Region;
@@ -420,7 +461,7 @@
     Wanted.Excluded = State.Tried;
     Wanted.Version = State.Version;
     const auto Placed = Fleet.place(State.Service, Wanted, Now);
-    if (!Placed.Endpoint || State.Request.Cancel->isCancelled()) {
+    if (!Placed.Endpoint) {
       absl::StrAppend(&State.Reason, "+no-endpoint");
       co_return State.MayHaveRun
           ? unknownOutcomeReply(State)
@@ -491,6 +532,9 @@
   if (auto Refusal = authorize(State)) {
     Reply = std::move(*Refusal);
     State.Reason = "refused";
+  } else if (auto Busy = refuseIfBusy(State)) {
+    Reply = std::move(*Busy);
+    State.Reason = "vm-busy";
   } else {
     auto Timeout = State.Route->Timeout;
     std::int64_t RequestedMs = 0;
@@ -505,10 +549,6 @@
                            ? stableHash(State.RequestId)
                            : stableHash(absl::StrCat(State.Service.str(), "/",
                                                      toAbsl(Object)));
-    State.Fingerprint = std::to_string(stableHash(absl::StrCat(
-        State.Workspace != nullptr ? State.Workspace->Name.str() : "", " ",
-        Message.Method, " ", Message.Target, " ", toAbsl(Object), " ",
-        Message.Body)));
     auto Refused = co_await admit(State);
     if (Refused) {
       Reply = std::move(*Refused);
@@ -529,17 +569,19 @@
   Metrics.add(State.Workspace != nullptr ? State.Workspace->Name
                                          : workspace_name("none"),
               absl::StrCat(Route, "/", Reply.Status), Took);
-  Log.write(absl::StrCat(
-                "request id=", State.RequestId, " status=", Reply.Status,
-                " reason=", State.Reason, " route=", Route, " version=",
-                State.Configuration ? State.Configuration->version() : 0,
-                " service=", State.Service.str(), " workspace=", Workspace,
-                " endpoint=", State.Endpoint, " known=", State.IsKnown,
-                " load=", State.Load, " attempts=", State.SentAttempts,
-                " unreached=", State.Unreached, " tried=", State.AttemptLog,
-                " ms=", toMilliseconds(Took),
-                " object=", toAbsl(findHeader(Message.Headers, Fields.Object))),
-            boot_clock::now());
+  const auto MakeLine = [&] {
+    return absl::StrCat(
+        "request id=", State.RequestId, " status=", Reply.Status,
+        " reason=", State.Reason, " route=", Route,
+        " version=", State.Configuration ? State.Configuration->version() : 0,
+        " service=", State.Service.str(), " workspace=", Workspace,
+        " endpoint=", State.Endpoint, " known=", State.IsKnown,
+        " load=", State.Load, " attempts=", State.SentAttempts,
+        " unreached=", State.Unreached, " tried=", State.AttemptLog,
+        " ms=", toMilliseconds(Took),
+        " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
+  };
+  Log.write(MakeLine, boot_clock::now());
   co_return Reply;
 }
 
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -23,6 +23,8 @@
   time_point Arrival;
   /** Cancelled when the caller disconnects. */
   std::shared_ptr<cancel_source> Cancel;
+  /** Called before the request waits for another VM or an endpoint. */
+  std::function<void()> OnWait;
 };
 
 /** Handles a request from arrival to answer: admits it, selects endpoints,
@@ -75,6 +77,11 @@
   /** Reads the current configuration and checks route and key.
       @returns the refusal, or nothing when the request is allowed */
   std::optional<http_reply> authorize(request_state &State);
+  /** Refuses a request that this VM is too busy to serve.
+      @returns the refusal, or nothing */
+  std::optional<http_reply> refuseIfBusy(const request_state &State);
+  /** @returns a text that is the same for equal requests of a workspace. */
+  const std::string &fingerprintOf(request_state &State) const;
   /** Applies the workspace's limit, and refuses requests that crash endpoints.
       @returns the refusal, or nothing when the request is admitted */
   awaitable<std::optional<http_reply>> admit(request_state &State);
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -30,6 +30,9 @@
 // Answers to other requests that are dropped before the connection is
 // abandoned.
 constexpr int MaxForeignAnswers = 3;
+// Bound on received bytes that are not yet part of an answer. An endpoint in
+// trouble may send an endless line; the body is bounded separately.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
 /** @returns the timeout in a Keep-Alive field in seconds, or 0. */
 int keepAliveSeconds(std::string_view Field) {
@@ -57,7 +60,7 @@
 
 struct upstream_pool::connection {
   explicit connection(const asio::any_io_executor &Executor)
-      : Socket(Executor) {}
+      : Socket(Executor), Buffer(MaxUnparsedBytes) {}
 
   /** @returns true while the peer has neither closed nor sent anything. */
   bool isQuiet() {
@@ -79,8 +82,8 @@
   bool IsReusable = false; ///< the last answer left it in a clean state
 };
 
-upstream_pool::upstream_pool(std::string Field)
-    : RequestIdField(std::move(Field)) {}
+upstream_pool::upstream_pool(std::string Field, deadline_queue &Deadlines)
+    : RequestIdField(std::move(Field)), Deadlines(Deadlines) {}
 
 upstream_pool::connection_pointer
 upstream_pool::take(const std::string &Endpoint, time_point Now) {
@@ -106,22 +109,21 @@
     co_return nullptr;
   const auto Executor = co_await asio::this_coro::executor;
   auto Connection = std::make_shared<connection>(Executor);
-  asio::steady_timer Timer(Executor, Timeout);
-  Timer.async_wait([Connection](const boost::system::error_code &Error) {
-    if (!Error)
-      Connection->close();
-  });
   Cancel->OnCancel = [Connection] { Connection->close(); };
   boost::system::error_code Error;
-  co_await Connection->Socket.async_connect(
-      *Endpoint, asio::redirect_error(asio::use_awaitable, Error));
+  {
+    const auto Timer = Deadlines.add(boot_clock::now() + Timeout,
+                                     [Connection] { Connection->close(); });
+    co_await Connection->Socket.async_connect(
+        *Endpoint, asio::redirect_error(asio::use_awaitable, Error));
+  }
   Cancel->OnCancel = nullptr;
-  Timer.cancel();
-  // The timer may have expired in the same event loop iteration in which the
+  // The deadline may have passed in the same event loop iteration in which the
   // connection was established.
   if (Error || !Connection->Socket.is_open())
     co_return nullptr;
   Connection->Socket.set_option(tcp::no_delay(true), Error);
+  Connection->Socket.non_blocking(true, Error);
   ++Opened;
   co_return Connection;
 }
@@ -148,39 +150,16 @@
     co_return Result;
 
   bool IsTimedOut = false;
-  const auto Executor = co_await asio::this_coro::executor;
-  asio::steady_timer Timer(Executor,
-                           std::chrono::duration_cast<std::chrono::nanoseconds>(
-                               Limits.Deadline - boot_clock::now()));
-  Timer.async_wait(
-      [Connection, &IsTimedOut](const boost::system::error_code &Error) {
-        if (Error)
-          return;
-        IsTimedOut = true;
-        Connection->close();
-      });
+  const auto Timer = Deadlines.add(Limits.Deadline, [Connection, &IsTimedOut] {
+    IsTimedOut = true;
+    Connection->close();
+  });
   Cancel->OnCancel = [Connection] { Connection->close(); };
-
-  // The handler keeps the request alive, as an early answer may end the
-  // exchange while the body is still being written.
-  Connection->IsWriting = true;
-  const std::array<asio::const_buffer, 2> Buffers = {
-      asio::buffer(Request->Head),
-      asio::buffer(Request->Body.data(), Request->Body.size())};
-  asio::async_write(
-      Connection->Socket, Buffers,
-      [Connection, Request](const boost::system::error_code &, std::size_t) {
-        Connection->IsWriting = false;
-      });
+  write(Connection, Request);
   const bool IsReused = Result.IsReused;
   Result = co_await readAnswer(Connection, Request, Limits.BodyBytes);
   Result.IsReused = IsReused;
   Cancel->OnCancel = nullptr;
-  // A timer handler that is already queued refers to IsTimedOut in this frame,
-  // so it must run before the frame is destroyed.
-  const bool MayStillFire = Timer.cancel() == 0;
-  if (MayStillFire)
-    co_await asio::post(asio::use_awaitable);
   if (Cancel->isCancelled() && Result.End != exchange_end::Answered)
     Result.End = exchange_end::Cancelled;
   else if (IsTimedOut && Result.End != exchange_end::Answered)
@@ -190,13 +169,42 @@
                       Connection->IsReusable && !Connection->IsWriting &&
                       Connection->Socket.is_open();
   auto &Connections = Idle[Endpoint];
-  if (IsKept && Connections.size() < MaxIdlePerEndpoint)
+  if (IsKept && Connections.size() < MaxIdlePerEndpoint) {
+    // An answer may have grown it to tens of kilobytes.
+    Connection->Buffer.shrink_to_fit();
     Connections.push_back(std::move(Connection));
-  else
+  } else {
     Connection->close();
+  }
   co_return Result;
 }
 
+void upstream_pool::write(const connection_pointer &Connection,
+                          std::shared_ptr<const upstream_request> Request) {
+  std::array<asio::const_buffer, 2> Buffers = {
+      asio::buffer(Request->Head),
+      asio::buffer(Request->Body.data(), Request->Body.size())};
+  // Most requests fit the socket's buffer. An error shows again when the answer
+  // is read.
+  boost::system::error_code Error;
+  std::size_t Written = Connection->Socket.write_some(Buffers, Error);
+  if (Written == asio::buffer_size(Buffers))
+    return;
+  for (auto &Buffer : Buffers) {
+    const auto Part = std::min(Written, Buffer.size());
+    Buffer += Part;
+    Written -= Part;
+  }
+  // The handler keeps the request alive, as an early answer may end the
+  // exchange while the body is still being written.
+  Connection->IsWriting = true;
+  asio::async_write(
+      Connection->Socket, Buffers,
+      [Connection, Request](const boost::system::error_code &, std::size_t) {
+        Connection->IsWriting = false;
+      });
+}
+
 awaitable<exchange_result>
 upstream_pool::readAnswer(connection_pointer Connection,
                           std::shared_ptr<const upstream_request> Request,
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -3,6 +3,7 @@
 
 #include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/net/deadline_queue.h"
 #include "sesamepaddle/net/http_message.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,8 +29,18 @@
   }
   bool isCancelled() const { return IsCancelled; }
 
+  /** Looks for a reason to cancel that the event loop has not delivered yet.
+      @returns true when cancelled */
+  bool checkCancelled() {
+    if (!IsCancelled && LookForCancel)
+      LookForCancel();
+    return IsCancelled;
+  }
+
   /** Called by cancel(); null while no operation is in progress. */
   std::function<void()> OnCancel;
+  /** Called by checkCancelled(); calls cancel() when it finds a reason. */
+  std::function<void()> LookForCancel;
 
 private:
   bool IsCancelled = false;
@@ -77,8 +88,9 @@
 */
 class upstream_pool {
 public:
-  /** @param RequestIdField  header field of an answer with its request's id */
-  explicit upstream_pool(std::string RequestIdField);
+  /** @param RequestIdField  header field of an answer with its request's id
+      @param Deadlines  must outlive the pool */
+  upstream_pool(std::string RequestIdField, deadline_queue &Deadlines);
 
   /** Sends @p Request to @p Address.
       @param Endpoint  identifies one run of the endpoint's process;
@@ -113,6 +125,10 @@
   awaitable<connection_pointer> open(const std::string &Address,
                                      std::chrono::milliseconds Timeout,
                                      std::shared_ptr<cancel_source> Cancel);
+  /** Writes @p Request, in the background if the socket does not take it
+      whole. */
+  static void write(const connection_pointer &Connection,
+                    std::shared_ptr<const upstream_request> Request);
   /** Reads up to the answer to @p Request, dropping other answers. */
   awaitable<exchange_result>
   readAnswer(connection_pointer Connection,
@@ -120,6 +136,7 @@
              std::size_t BodyBytes);
 
   std::string RequestIdField;
+  deadline_queue &Deadlines;
   std::map<std::string, std::vector<connection_pointer>, std::less<>> Idle;
   std::size_t Opened = 0;
 };
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -201,6 +201,7 @@
   Message.PeerHttpAddress = Vm.PeerHttpAddress;
   Message.IsStoreLost = Fleet.isStoreLost();
   Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
+  Message.IsBusy = Fleet.overload().isBusy(Now);
   Message.Demand = PublishedDemand;
   for (const auto &[Service, Rollout] : Fleet.rollouts())
     Message.Rollouts.push_back(toGossip(Rollout));
@@ -419,6 +420,7 @@
   Vm.GossipAddress = Message.GossipAddress;
   Vm.PeerHttpAddress = Message.PeerHttpAddress;
   Vm.IsReady = Message.IsReady;
+  Vm.IsBusy = Message.IsBusy;
   Vm.IsStoreLost = Message.IsStoreLost;
   Vm.LastHeard = Now;
   Fleet.applyVm(Vm);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -25,6 +25,9 @@
 // than the default http_server_limits::IdleTimeout, after which our servers
 // close it.
 constexpr std::chrono::seconds MaxIdleTime{20};
+// Bound on received bytes that are not yet part of a reply: a server in trouble
+// may send an endless line. The body is bounded separately.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
 using steady = std::chrono::steady_clock;
 
@@ -234,7 +237,7 @@
                                                      : net_failure::SendFailed,
                       Server, Error);
 
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxUnparsedBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(BodyBytes);
   Parser.skip(Request.Method == "HEAD");
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -80,6 +80,24 @@
     removeHeader(Headers, Name);
 }
 
+void appendForwardedHeaders(std::string &Head, const http_headers &Headers,
+                            std::span<const std::string_view> Excluded) {
+  const auto IsIn = [](const auto &Names, std::string_view Name) {
+    return std::any_of(Names.begin(), Names.end(), [Name](const auto &Other) {
+      return sameName(Other, Name);
+    });
+  };
+  std::vector<std::string> ListedNames;
+  for (const auto &Header : Headers)
+    if (sameName(Header.Name, "connection"))
+      for (auto Part : absl::StrSplit(Header.Value, ','))
+        ListedNames.emplace_back(absl::StripAsciiWhitespace(Part));
+  for (const auto &Header : Headers)
+    if (!IsIn(HopByHopNames, Header.Name) && !IsIn(Excluded, Header.Name) &&
+        !IsIn(ListedNames, Header.Name))
+      Head.append(Header.Name).append(": ").append(Header.Value).append("\r\n");
+}
+
 http_reply makeJsonReply(unsigned Status, std::string Json) {
   return {Status, {{"Content-Type", "application/json"}}, std::move(Json)};
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -21,6 +21,10 @@
 
 namespace {
 
+// Bound on received bytes that are not yet part of a request, as of an endless
+// line. The body is bounded separately.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
 // Limits for reading and discarding input after an error reply. Closing a
 // socket with unread input resets the connection, which can lose the reply.
 constexpr std::size_t LingerBytes = 256 * 1024;
@@ -188,7 +192,7 @@
   struct connection {
     explicit connection(tcp::socket Socket) : Stream(std::move(Socket)) {}
     beast::tcp_stream Stream;
-    beast::flat_buffer Buffer;
+    beast::flat_buffer Buffer{MaxUnparsedBytes};
     tcp::endpoint Caller;
     bool Busy = false; // used only by the connection's worker
   };
--- a/src/steering/rendezvous.cpp
+++ b/src/steering/rendezvous.cpp
@@ -2,6 +2,9 @@
 
 #include <cmath>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace sesamepaddle {
 
 namespace {
@@ -26,6 +29,10 @@
   return mix(Hash);
 }
 
+std::uint64_t contentHash(std::string_view Bytes) {
+  return XXH3_64bits(Bytes.data(), Bytes.size());
+}
+
 double rendezvousScore(std::uint64_t Key, std::uint64_t Candidate,
                        double Weight) {
   // Maps the upper 53 bits of the hash to a number between 0 and 1, never 0.
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -96,6 +96,12 @@
     co_await asio::async_write(
         *Socket, asio::buffer(Answer.Bytes),
         asio::redirect_error(asio::use_awaitable, Error));
+    while (!Answer.EndlessBytes.empty() && !Error)
+      co_await asio::async_write(
+          *Socket, asio::buffer(Answer.EndlessBytes),
+          asio::redirect_error(asio::use_awaitable, Error));
+    if (!Answer.EndlessBytes.empty())
+      ++Abandoned;
     if (!Answer.LateBytes.empty()) {
       co_await pause(LateBytesDelay);
       co_await asio::async_write(
