Large fleets: VMs are not counted anew for each VM that is looked at

Cause: the interval between messages was found by counting all VMs, and each look at a VM (directory answers, store readers, lenders, quota) asks for it: work with the square of the fleet, in a directory answer of 295 VMs 86,000 comparisons. A VM that started asked all others, and each reply named the whole fleet (about 14 KB of 295 VMs). Endpoints without a bad answer were judged like the others, ten times a second. Of each region of 98 VMs five read the store.

Change: near VMs are counted when they are learned; replies name the fleet only to a VM that knows nobody, and on average two to one that knows few; endpoints with good answers alone are not computed; loads find their endpoint by one look. One reader for 48 VMs, two at least from 24 VMs on: the number in fleets of 84 VMs stays (test), one of 295 gets 9 instead of 15.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -190,6 +190,7 @@
   std::map<service_name, fleet_rollout> Rollouts;
   std::map<service_name, recorded_rollout> Recorded; ///< final outcomes
   std::map<vm_name, known_vm> Vms;
+  std::size_t NearVms = 0; ///< number of near ones in Vms
   std::set<failure_domain_name> Evacuated;
   std::map<vm_name, time_point> AvoidedReaders; ///< end of exclusion
   std::map<vm_name, vm_loads> VmLoads;
--- a/include/sesamepaddle/load_balancing/endpoint_health.h
+++ b/include/sesamepaddle/load_balancing/endpoint_health.h
@@ -51,6 +51,9 @@
   bool isWorthPublishing(time_point Now) const;
 
 private:
+  /** @returns true when no VM has reported bad answers. */
+  bool hasOnlyGood() const;
+
   /** Counts as of a time, from which they decay. */
   struct series {
     answer_counts AnswerCounts;
--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -155,7 +155,7 @@
 
   std::map<endpoint_id, endpoint_pointer> Endpoints;
   std::unordered_map<service_name, std::vector<endpoint_pointer>> ByService;
-  std::unordered_map<std::uint64_t, endpoint_id> IdByHash;
+  std::unordered_map<std::uint64_t, endpoint_pointer> ByHash;
   /** Endpoints whose record is gone but that stay usable until the given
       time. */
   std::map<endpoint_id, time_point> RemovalTimes;
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -21,9 +21,13 @@
 // Probability that a directory response leaves out a busy VM. It keeps half of
 // its callers, so that they do not all move to its neighbours at once.
 constexpr double BusyOmission = 0.5;
-// VMs for which one VM reads the store. Few enough that sending an update to
-// all of them takes a small part of the reader's link.
-constexpr std::size_t VmsPerReader = 24;
+// VMs for which one VM reads the store, at most. Calls to the store and bytes
+// from it to other regions are dear; a reader of 48 VMs answers 60 polls a
+// second, nearly all of them empty.
+constexpr std::size_t VmsPerReader = 48;
+// From this number of VMs on there are at least two readers, as a lost reader
+// delays what its VMs learn by a second.
+constexpr std::size_t MinVmsForTwoReaders = 24;
 // The in-flight requests that another VM reported count for this long, or for
 // this many of its message intervals if that is longer: one interval, plus the
 // transit time.
@@ -151,7 +155,9 @@
       std::count_if(Vms.begin(), Vms.end(), [this](const auto &Entry) {
         return isReaderFor(Entry.second);
       });
-  return 1 + static_cast<std::size_t>(Served) / VmsPerReader;
+  const auto Vms = static_cast<std::size_t>(Served);
+  return std::max<std::size_t>(Vms >= MinVmsForTwoReaders ? 2 : 1,
+                               1 + Vms / VmsPerReader);
 }
 
 bool fleet_state::isStoreProber(time_point Now) const {
@@ -170,11 +176,9 @@
   return Vms.size() < SmallFleetVms || isNear(Vm);
 }
 
+// Asked for each VM whenever VMs are chosen, so the VMs are not counted here.
 std::chrono::milliseconds fleet_state::messageInterval(bool ToNear) const {
-  const auto Count =
-      std::count_if(Vms.begin(), Vms.end(), [&](const auto &Entry) {
-        return isNear(Entry.second) == ToNear;
-      });
+  const std::size_t Count = ToNear ? NearVms : Vms.size() - NearVms;
   const double Seconds =
       static_cast<double>(Count) /
       (ToNear ? NearMessagesPerSecond : FarMessagesPerSecond);
@@ -230,7 +234,12 @@
 void fleet_state::applyVm(known_vm Vm) {
   if (Vm.Name == Options.Vm.Name)
     return;
-  auto &Known = Vms[Vm.Name];
+  const auto [Entry, IsNew] = Vms.try_emplace(Vm.Name);
+  auto &Known = Entry->second;
+  if (!IsNew && isNear(Known))
+    --NearVms;
+  if (isNear(Vm))
+    ++NearVms;
   const auto FirstKnown =
       Known.FirstKnown == time_point{} ? Vm.LastHeard : Known.FirstKnown;
   Known = std::move(Vm);
@@ -241,6 +250,8 @@
   if (Vm.Name == Options.Vm.Name || Vms.contains(Vm.Name))
     return;
   Quota.learnPeer(Vm.Name.str());
+  if (isNear(Vm))
+    ++NearVms;
   Vms.emplace(Vm.Name, std::move(Vm));
 }
 
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -85,7 +85,8 @@
   bool IsReady = false;
   bool IsBusy = false; ///< short of processor time
   bool IsStoreLost = false;
-  bool WantsVms = false; ///< asks the receiver for the VMs that it knows
+  bool WantsReply = false;    ///< asks the receiver for a message
+  std::uint32_t KnownVms = 0; ///< number of other VMs that the sender knows
   /** Hundredths of a request per second, by the hash of the workspace's name.
       Full names took up three quarters of the messages in a large fleet. */
   std::map<std::uint32_t, std::uint32_t> Demand;
@@ -97,8 +98,8 @@
   std::vector<gossip_vm> Vms;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsBusy,
-                 IsStoreLost, WantsVms, Demand, Rollouts, Crashes, Health,
-                 Loads, Known, Vms)
+                 IsStoreLost, WantsReply, KnownVms, Demand, Rollouts, Crashes,
+                 Health, Loads, Known, Vms)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or grants them. */
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -29,9 +29,10 @@
 constexpr int SilentVmRounds = 8;
 // Crashes that are queued for the next message.
 constexpr std::size_t MaxCrashes = 16;
-// A VM that has just started asks all others. On average this many of them
-// reply with all known objects.
-constexpr double ExpectedObjectSenders = 2;
+// A VM that has just started asks all others for a message. On average this
+// many of them add all known objects, and as many the VMs that they know: in a
+// fleet of 300 that start together, complete replies of all would be 1 GB.
+constexpr double ExpectedDetailSenders = 2;
 // Endpoints in one message, so that its datagram is not fragmented.
 constexpr std::size_t MaxHealth = 24;
 constexpr std::size_t MaxLoads = 64;
@@ -202,6 +203,7 @@
   Message.IsStoreLost = Fleet.isStoreLost();
   Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
   Message.IsBusy = Fleet.overload().isBusy(Now);
+  Message.KnownVms = static_cast<std::uint32_t>(Fleet.vms().size());
   Message.Demand = PublishedDemand;
   for (const auto &[Service, Rollout] : Fleet.rollouts())
     Message.Rollouts.push_back(toGossip(Rollout));
@@ -265,7 +267,7 @@
     Message.Known = groupByEndpoint(std::exchange(FarObjectUpdates, {}));
     ToFar = encodeGossip(Message);
   }
-  Message.WantsVms = true;
+  Message.WantsReply = true;
   const auto Asking = encodeGossip(Message);
   for (const auto &[Name, Vm] : Fleet.vms()) {
     const bool IsNear = Fleet.isNear(Vm);
@@ -454,14 +456,14 @@
     Learned.GossipAddress = Known.Address;
     Fleet.learnVm(std::move(Learned));
   }
-  if (!Message.WantsVms)
+  if (!Message.WantsReply)
     return;
   auto Reply = makeMessage(Now);
-  // Only a few VMs send all known objects to a VM that has just started.
-  const bool SendsKnownObjects =
-      Fleet.draw() * static_cast<double>(Fleet.vmCount()) <
-      ExpectedObjectSenders;
-  if (SendsKnownObjects)
+  const auto IsDetailSender = [this] {
+    return Fleet.draw() * static_cast<double>(Fleet.vmCount()) <
+           ExpectedDetailSenders;
+  };
+  if (IsDetailSender())
     Fleet.endpoints().forEach([&](const fleet_endpoint &Endpoint) {
       gossip_known_objects Known{Endpoint.Hash, {}};
       for (const auto &[Object, LastUse] : Endpoint.KnownObjects)
@@ -469,8 +471,13 @@
       if (!Known.Objects.empty())
         Reply.Known.push_back(std::move(Known));
     });
-  for (const auto &[Name, Known] : Fleet.vms())
-    Reply.Vms.push_back({Name.str(), Known.GossipAddress});
+  // Most VMs know the others from the store. One that knows nobody asks only
+  // its seeds.
+  const bool KnowsNobody = Message.KnownVms == 0;
+  const bool KnowsFew = 2 * std::size_t{Message.KnownVms} < Fleet.vms().size();
+  if (KnowsNobody || (KnowsFew && IsDetailSender()))
+    for (const auto &[Name, Known] : Fleet.vms())
+      Reply.Vms.push_back({Name.str(), Known.GossipAddress});
   sendTo(Message.GossipAddress, encodeGossip(Reply));
 }
 
--- a/src/load_balancing/endpoint_health.cpp
+++ b/src/load_balancing/endpoint_health.cpp
@@ -61,11 +61,22 @@
 }
 
 double endpoint_health::badShare(time_point Now) const {
+  if (hasOnlyGood())
+    return 0;
   const auto Seen = total(Now);
   return Seen.Bad / (Seen.Good + Seen.Bad + AssumedGoodAnswers);
 }
 
+// True of nearly all endpoints, which are judged several times a second.
+bool endpoint_health::hasOnlyGood() const {
+  return Own.AnswerCounts.Bad == 0 && Peers.empty();
+}
+
 void endpoint_health::judge(double UsualBadShare, time_point Now) {
+  if (hasOnlyGood()) {
+    IsSuspect = false;
+    return;
+  }
   std::erase_if(Peers, [&](const auto &Entry) {
     const auto Left = decayed(Entry.second, Now);
     return Left.Good + Left.Bad < MinKeptAnswers;
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -81,7 +81,7 @@
         Endpoint ? Endpoint->Record.Service : service_name();
     Endpoint = std::make_shared<fleet_endpoint>();
     Endpoint->Hash = stableHash(Record.Id.view());
-    IdByHash[Endpoint->Hash] = Record.Id;
+    ByHash[Endpoint->Hash] = Endpoint;
     Endpoint->Record = Record;
     Change = "joined";
     if (!Former.empty() && Former != Record.Service)
@@ -106,7 +106,7 @@
   }
   const service_name Service = Found->second->Record.Service;
   Found->second->Record.IsLeaving = true;
-  IdByHash.erase(Found->second->Hash);
+  ByHash.erase(Found->second->Hash);
   Endpoints.erase(Found);
   RemovalTimes.erase(Id);
   rebuild(Service);
@@ -168,8 +168,8 @@
 }
 
 endpoint_pointer endpoint_registry::findByHash(std::uint64_t Hash) const {
-  const auto Found = IdByHash.find(Hash);
-  return Found == IdByHash.end() ? nullptr : find(Found->second);
+  const auto Found = ByHash.find(Hash);
+  return Found == ByHash.end() ? nullptr : Found->second;
 }
 
 void endpoint_registry::rebuild(const service_name &Service) {
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -82,4 +82,38 @@
     const auto Probers = Fleet.probers(Start);
     CHECK(Probers.size() == 6);
   }
+
+  SUBCASE("as few as keep the calls to the store down in one of 295 VMs") {
+    const vm_fleet Fleet(295);
+    const auto Probers = Fleet.probers(Start);
+    CHECK(Probers.size() == 9);
+  }
+}
+
+// Message intervals follow from the number of near and far VMs, which is kept
+// while VMs are learned from the store and heard for the first time.
+TEST_CASE("a VM counts as near once its region is known") {
+  ingress_options Options;
+  Options.Vm.Name = vm_name("vm-own");
+  Options.Vm.Region = region_name("lima");
+  fleet_state Fleet(Options);
+  const auto AddVm = [&](int Number, const std::string &Region) {
+    known_vm Vm;
+    Vm.Name = vm_name("vm-" + std::to_string(Number));
+    Vm.Region = region_name(Region);
+    Vm.LastHeard = Start;
+    if (Region.empty())
+      Fleet.learnVm(std::move(Vm));
+    else
+      Fleet.applyVm(std::move(Vm));
+  };
+  for (int Number = 0; Number < 100; ++Number)
+    AddVm(Number, "");
+  CHECK(Fleet.messageInterval(true) == milliseconds(500));
+  CHECK(Fleet.messageInterval(false) == milliseconds(12'500));
+  for (int Round = 0; Round < 2; ++Round)
+    for (int Number = 0; Number < 100; ++Number)
+      AddVm(Number, Number < 50 ? "lima" : "cusco");
+  CHECK(Fleet.messageInterval(true) == milliseconds(2'000));
+  CHECK(Fleet.messageInterval(false) == milliseconds(6'250));
 }
--- a/tests/ingress/gossip_test.cpp
+++ b/tests/ingress/gossip_test.cpp
@@ -60,6 +60,11 @@
     Socket.send_to(asio::buffer(encodeGossip(Message)), To);
   }
 
+  /** Sends @p Message to the VM that sent the latest one. */
+  void send(const gossip_message &Message) {
+    Socket.send_to(asio::buffer(encodeGossip(Message)), Sender);
+  }
+
   udp::endpoint Sender;
 
 private:
@@ -110,3 +115,43 @@
   // Near VMs receive messages more often.
   CHECK(NearMessages > FarMessages);
 }
+
+// All VMs of a fleet start together and ask each other for a message. If all
+// replies named all VMs, their bytes would grow with the cube of the fleet.
+TEST_CASE("a VM that knows the others is not told their names again") {
+  simulated_vm Asker;
+  ingress_fixture Fixture({answerWhole}, [&](ingress_options &Options) {
+    Options.Vm.SeedGossipAddresses = {Asker.address()};
+  });
+  while (Asker.receive().empty())
+    std::this_thread::sleep_for(milliseconds(10));
+  constexpr std::uint32_t FleetSize = 8;
+  Fixture.onVm([](fleet_state &Fleet) {
+    for (std::uint32_t Number = 0; Number < FleetSize; ++Number) {
+      known_vm Vm;
+      Vm.Name = vm_name("other-" + std::to_string(Number));
+      Vm.GossipAddress = "127.0.0.1:9";
+      Fleet.learnVm(std::move(Vm));
+    }
+    return true;
+  });
+  const auto Ask = [&](std::uint32_t KnownVms) {
+    gossip_message Message;
+    Message.Name = "asker";
+    Message.Region = "lima";
+    Message.GossipAddress = Asker.address();
+    Message.WantsReply = true;
+    Message.KnownVms = KnownVms;
+    Asker.send(Message);
+    std::size_t Named = 0;
+    const auto Start = boot_clock::now();
+    while (boot_clock::now() - Start < milliseconds(300)) {
+      for (const auto &Reply : Asker.receive())
+        Named += Reply.Vms.size();
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return Named;
+  };
+  CHECK(Ask(FleetSize) == 0);
+  CHECK(Ask(0) >= FleetSize);
+}
