A request that failed at a new version is retried at the old one

The version was drawn once a request.

Change: after a fault at the new version of a rollout whose outcome is not recorded, a further attempt goes to the old one. Requests that an endpoint did not run keep their version. The new version gets no more than before.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -146,6 +146,11 @@
       @returns the version to use or to exclude; both empty: any */
   version_choice drawVersion(const service_name &Service);
 
+  /** @returns the version for a further attempt of a request that failed at the
+      new version of a rollout: the old one until the outcome is recorded. */
+  version_choice versionAfterFault(const service_name &Service,
+                                   const version_choice &Failed) const;
+
   /** Chooses an endpoint for a request of @p Service. */
   placed_endpoint place(const service_name &Service,
                         const placement_request &Request, time_point Now);
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -285,6 +285,15 @@
   return {};
 }
 
+version_choice
+fleet_state::versionAfterFault(const service_name &Service,
+                               const version_choice &Failed) const {
+  const auto Found = Rollouts.find(Service);
+  if (!Failed.IsNew || Found == Rollouts.end() || Found->second.recorded())
+    return Failed;
+  return {{}, Found->second.order().To, false};
+}
+
 placed_endpoint fleet_state::place(const service_name &Service,
                                    const placement_request &Request,
                                    time_point Now) {
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -498,8 +498,10 @@
       if (Meaning == answer_meaning::Final) {
         State.MayHaveRun = true;
         State.Reason = "answered";
-        if (IsFault && MayRepeat && mayRetry(State, true))
+        if (IsFault && MayRepeat && mayRetry(State, true)) {
+          State.Version = Fleet.versionAfterFault(State.Service, State.Version);
           continue;
+        }
         co_return Result.Reply;
       }
       State.Reason = IsNotRun ? "not-run" : "unproved";
@@ -512,8 +514,11 @@
     }
     State.MayHaveRun = true;
     State.Reason = Result.End == exchange_end::TimedOut ? "timed-out" : "lost";
-    if (State.Route->Kind == request_kind::Idempotent && mayRetry(State, true))
+    if (State.Route->Kind == request_kind::Idempotent &&
+        mayRetry(State, true)) {
+      State.Version = Fleet.versionAfterFault(State.Service, State.Version);
       continue;
+    }
     co_return unknownOutcomeReply(State);
   }
 }
--- a/tests/ingress/answers_test.cpp
+++ b/tests/ingress/answers_test.cpp
@@ -95,6 +95,35 @@
   CHECK(Counts.at("checks").OldBad == Failed);
 }
 
+// A bad version fails a second attempt as it failed the first one, and the
+// caller gets the failure although endpoints of the old version are well.
+TEST_CASE("a request that failed at a new version is retried at the old one") {
+  const auto Fail = [](const std::string &Request) {
+    return scripted_answer{makeAnswer(Request, "", "500 Error"), "", false,
+                           false, milliseconds(0)};
+  };
+  ingress_fixture Fixture({answerWhole, Fail, Fail});
+  rollout_order Order;
+  Order.Service = service_name("orders");
+  Order.To = version_name("v2");
+  Order.Duration = milliseconds(60'000);
+  Fixture.onVm([&](fleet_state &Fleet) {
+    for (const auto *Id : {"i-1", "i-2"}) {
+      auto Record = Fleet.endpoints().find(endpoint_id(Id))->Record;
+      Record.Version = Order.To;
+      Fleet.endpoints().apply(Record, boot_clock::now());
+    }
+    Fleet.setRollout(Order, duration(0), boot_clock::now());
+    return true;
+  });
+  for (int Number = 0; Number < 30; ++Number)
+    CHECK(
+        isStatus(Fixture.get("/checks/1", "r" + std::to_string(Number)), 200));
+  CHECK(Fixture.endpoint(1).requests().size() +
+            Fixture.endpoint(2).requests().size() >
+        0);
+}
+
 TEST_CASE("an incomplete or invalid answer is not forwarded") {
   SUBCASE("truncated") {
     ingress_fixture Fixture({[](const std::string &Request) {
