An unexpected error ends one request, and a loop that fails starts again

An exception in a request ended its connection without an answer and left it counted as in flight, so that a drain waited for it.

Change: net/supervised_loop logs the exception and starts the loop again after 0.1 s; an exception in a request is answered 502, as it may have run, and logged with its reason; one in a connection is logged.

Tests: a loop that throws twice runs a third time; a request whose way throws gets 502 and is not in flight any more.

--- a/include/sesamepaddle/net/net.h
+++ b/include/sesamepaddle/net/net.h
@@ -11,6 +11,7 @@
 #include "sesamepaddle/net/http_client.h"
 #include "sesamepaddle/net/http_message.h"
 #include "sesamepaddle/net/http_server.h"
+#include "sesamepaddle/net/supervised_loop.h"
 #include "sesamepaddle/net/worker_pool.h"
 
 #endif
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -4,6 +4,7 @@
 #include "ingress/vm_gossip.h"
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_server.h"
+#include "sesamepaddle/net/supervised_loop.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -77,10 +78,8 @@
     if (const auto Status = serveHttp(Vm.MetricsAddress); !Status.ok())
       Log.warn("no metrics: " + Status.ToString());
     const auto Self = shared_from_this();
-    asio::co_spawn(Pool.context(0), acceptLoop(),
-                   [Self](const std::exception_ptr &) {});
-    asio::co_spawn(Pool.context(0), tickLoop(),
-                   [Self](const std::exception_ptr &) {});
+    supervise("accept", [Self] { return Self->acceptLoop(); });
+    supervise("tick", [Self] { return Self->tickLoop(); });
     Log.info(absl::StrCat("started name=", Vm.Name.str(), " incarnation=",
                           static_cast<std::uint64_t>(Vm.Incarnation),
                           " callers=", Vm.CallerAddress));
@@ -123,6 +122,18 @@
     return absl::OkStatus();
   }
 
+  /** @param Loop  keeps this object alive */
+  void supervise(const char *Name, std::function<awaitable<void>()> Loop) {
+    asio::co_spawn(
+        Pool.context(0),
+        runSupervised(std::move(Loop),
+                      [this, Name](const std::string &Error) {
+                        Log.error(absl::StrCat("loop restarted name=", Name,
+                                               " error=", Error));
+                      }),
+        asio::detached);
+  }
+
   absl::Status serveHttp(const std::string &Address) {
     if (Address.empty() || Address == Fleet.options().Vm.CallerAddress)
       return absl::OkStatus();
@@ -217,7 +228,11 @@
         std::make_shared<caller_session>(std::move(Socket), Sessions);
     OpenSessions.push_back(Session);
     asio::co_spawn(Pool.context(0), Session->run(),
-                   [Session](const std::exception_ptr &) {});
+                   [this, Session](const std::exception_ptr &Error) {
+                     if (Error)
+                       Log.error("connection ended error=" +
+                                 describeException(Error));
+                   });
   }
 
   awaitable<void> tickLoop() {
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -523,6 +523,37 @@
   }
 }
 
+awaitable<http_reply> request_path::handle(request_state &State) {
+  const auto &Fields = Fleet.options().Fields;
+  const auto &Message = State.Request.Message;
+  State.Reason = "refused";
+  if (auto Refusal = authorize(State))
+    co_return std::move(*Refusal);
+  if (auto Busy = refuseIfBusy(State)) {
+    State.Reason = "vm-busy";
+    co_return std::move(*Busy);
+  }
+  auto Timeout = State.Route->Timeout;
+  std::int64_t RequestedMs = 0;
+  if (absl::SimpleAtoi(toAbsl(findHeader(Message.Headers, Fields.DeadlineMs)),
+                       &RequestedMs) &&
+      RequestedMs > 0)
+    Timeout = std::min(Timeout, milliseconds(RequestedMs));
+  State.Deadline = State.Request.Arrival + Timeout;
+  State.Service = State.Route->serviceFor(Fleet.draw());
+  const auto Object = findHeader(Message.Headers, Fields.Object);
+  State.ObjectHash =
+      Object.empty()
+          ? stableHash(State.RequestId)
+          : stableHash(absl::StrCat(State.Service.str(), "/", toAbsl(Object)));
+  if (auto Refusal = co_await admit(State))
+    co_return std::move(*Refusal);
+  State.Reason.clear();
+  Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
+  State.Version = Fleet.drawVersion(State.Service);
+  co_return co_await send(State);
+}
+
 awaitable<http_reply> request_path::run(ingress_request Request) {
   request_state State;
   State.Request = std::move(Request);
@@ -533,39 +564,15 @@
   State.Path = targetPath(Message.Target);
   if (State.RequestId.empty())
     co_return refuse(State, 400, "no-request-id", 0);
-  http_reply Reply;
-  if (auto Refusal = authorize(State)) {
-    Reply = std::move(*Refusal);
-    State.Reason = "refused";
-  } else if (auto Busy = refuseIfBusy(State)) {
-    Reply = std::move(*Busy);
-    State.Reason = "vm-busy";
-  } else {
-    auto Timeout = State.Route->Timeout;
-    std::int64_t RequestedMs = 0;
-    if (absl::SimpleAtoi(toAbsl(findHeader(Message.Headers, Fields.DeadlineMs)),
-                         &RequestedMs) &&
-        RequestedMs > 0)
-      Timeout = std::min(Timeout, milliseconds(RequestedMs));
-    State.Deadline = State.Request.Arrival + Timeout;
-    State.Service = State.Route->serviceFor(Fleet.draw());
-    const auto Object = findHeader(Message.Headers, Fields.Object);
-    State.ObjectHash = Object.empty()
-                           ? stableHash(State.RequestId)
-                           : stableHash(absl::StrCat(State.Service.str(), "/",
-                                                     toAbsl(Object)));
-    auto Refused = co_await admit(State);
-    if (Refused) {
-      Reply = std::move(*Refused);
-      State.Reason = "refused";
-    } else {
-      Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
-      State.Version = Fleet.drawVersion(State.Service);
-      ++InFlight;
-      Reply = co_await send(State);
-      --InFlight;
-    }
+  // An unexpected error ends this request alone. It may have run.
+  http_reply Reply = unknownOutcomeReply(State);
+  ++InFlight;
+  try {
+    Reply = co_await handle(State);
+  } catch (const std::exception &Error) {
+    State.Reason = absl::StrCat("internal-error:", Error.what());
   }
+  --InFlight;
   const auto Took = boot_clock::now() - State.Request.Arrival;
   const std::string Workspace =
       State.Workspace != nullptr ? State.Workspace->Name.str() : "";
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -60,7 +60,7 @@
   /** @returns true when a late endpoint was found since the last call. */
   bool takeUrgentUpdate() { return std::exchange(IsUpdateUrgent, false); }
 
-  /** @returns the number of admitted requests without an answer. */
+  /** @returns the number of requests without an answer. */
   std::size_t inFlight() const { return InFlight; }
   poison_registry &poison() { return Poison; }
 
@@ -85,6 +85,8 @@
   /** Applies the workspace's limit, and refuses requests that crash endpoints.
       @returns the refusal, or nothing when the request is admitted */
   awaitable<std::optional<http_reply>> admit(request_state &State);
+  /** Admits the request and sends it. @returns the answer for the caller */
+  awaitable<http_reply> handle(request_state &State);
   /** Sends the request, with retries. @returns the answer for the caller */
   awaitable<http_reply> send(request_state &State);
   /** Makes one attempt at @p Endpoint. */
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -2,6 +2,7 @@
 
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_server.h"
+#include "sesamepaddle/net/supervised_loop.h"
 #include "sesamepaddle/steering/rendezvous.h"
 
 #include "absl/strings/str_cat.h"
@@ -127,10 +128,15 @@
       Gossip->sendNow(true);
     }
   };
-  asio::co_spawn(Socket.get_executor(), receiveLoop(),
-                 [Self](const std::exception_ptr &) {});
-  asio::co_spawn(Socket.get_executor(), sendLoop(),
-                 [Self](const std::exception_ptr &) {});
+  const auto Report = [Self](const std::string &Error) {
+    Self->Log.error("loop restarted error=" + Error);
+  };
+  asio::co_spawn(Socket.get_executor(),
+                 runSupervised([Self] { return Self->receiveLoop(); }, Report),
+                 asio::detached);
+  asio::co_spawn(Socket.get_executor(),
+                 runSupervised([Self] { return Self->sendLoop(); }, Report),
+                 asio::detached);
   return absl::OkStatus();
 }
 
