Accepting pauses before the descriptors run out

Cause: a VM accepted connections until the kernel refused descriptors, so that none were left for endpoints, the store and other VMs.

One line says when accepting pauses.

Test: with 20 descriptors, an eleventh caller is served once one of ten leaves.

--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -78,6 +78,7 @@
       some message intervals if that is longer. */
   std::chrono::milliseconds VmSilence{2'500};
   std::size_t MemoryBytes = 256U * 1024 * 1024; ///< of one VM
+  std::size_t Descriptors = 4'096;              ///< that one VM may have open
 };
 
 /** Options of an ingress node. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -40,6 +40,17 @@
 // held once, until its answer.
 constexpr double BodyMemoryFraction = 0.4;
 
+// Fraction of a VM's descriptors that callers' connections may take. Each of
+// them may need one to an endpoint as well.
+constexpr double CallerDescriptorFraction = 0.5;
+// Pause of accepting while no connection can be taken.
+constexpr milliseconds AcceptPause{20};
+
+std::size_t maxCallerConnections(const fleet_bounds &Bounds) {
+  return static_cast<std::size_t>(static_cast<double>(Bounds.Descriptors) *
+                                  CallerDescriptorFraction);
+}
+
 std::size_t bodyMemoryLimit(const fleet_bounds &Bounds) {
   return static_cast<std::size_t>(static_cast<double>(Bounds.MemoryBytes) *
                                   BodyMemoryFraction);
@@ -202,8 +213,11 @@
           asio::redirect_error(asio::use_awaitable, Error));
       if (Error == asio::error::operation_aborted)
         co_return;
-      for (int Accepted = 0; !Error && Accepted < MaxAcceptsPerPass;
-           ++Accepted) {
+      const auto IsFull = [this] {
+        return Sessions->Open >= maxCallerConnections(Fleet.options().Bounds);
+      };
+      for (int Accepted = 0;
+           !Error && !IsFull() && Accepted < MaxAcceptsPerPass; ++Accepted) {
         tcp::socket Socket(Pool.context(0));
         Acceptor.accept(Socket, Error);
         if (!Error)
@@ -211,16 +225,19 @@
       }
       const bool IsEmpty =
           Error == asio::error::would_block || Error == asio::error::try_again;
-      if (!Error || IsEmpty)
+      if (IsEmpty || (!Error && !IsFull()))
         continue;
-      // Most likely out of file descriptors: wait until some are freed.
-      Log.warn("no connection accepted error=" + Error.message());
-      asio::steady_timer Pause(Pool.context(0), milliseconds(20));
+      // Out of descriptors, or about to be: wait until some are freed.
+      if (!std::exchange(IsAcceptingPaused, true))
+        Log.warn(absl::StrCat("accepting paused connections=", Sessions->Open,
+                              " error=", Error.message()));
+      asio::steady_timer Pause(Pool.context(0), AcceptPause);
       co_await Pause.async_wait(asio::use_awaitable);
     }
   }
 
   void startSession(tcp::socket Socket) {
+    IsAcceptingPaused = false;
     boost::system::error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
     Socket.non_blocking(true, Ignored);
@@ -319,6 +336,7 @@
   std::list<std::weak_ptr<caller_session>> OpenSessions;
   time_point DrainStart{};
   bool WasReady = false;
+  bool IsAcceptingPaused = false; ///< no connection accepted since the pause
   std::ptrdiff_t KnownFaulty = 0; ///< rollouts known to be faulty
   std::function<void()> OnDrained;
 };
--- a/tests/ingress/busy_vm_test.cpp
+++ b/tests/ingress/busy_vm_test.cpp
@@ -111,6 +111,25 @@
   CHECK(Answered == Callers.size());
 }
 
+// With all descriptors taken by callers, none would be left for endpoints.
+TEST_CASE("accepting pauses before the descriptors run out") {
+  ingress_fixture Fixture({answerWhole}, [](ingress_options &Options) {
+    Options.Bounds.Descriptors = 20;
+  });
+  std::vector<std::unique_ptr<raw_connection>> Idle;
+  for (int Number = 0; Number < 10; ++Number) {
+    Idle.push_back(std::make_unique<raw_connection>(Fixture.callers()));
+    Idle.back()->send(makeGet("r" + std::to_string(Number), ""));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  raw_connection Waiting(Fixture.callers());
+  Waiting.send(makeGet("waiting", "Connection: close\r\n"));
+  CHECK(Waiting.readToEnd(milliseconds(300)).empty());
+  CHECK(Fixture.endpoint(0).requests().size() == 10);
+  Idle.pop_back();
+  CHECK(Waiting.readToEnd(ingress_fixture::LongWait).ends_with("whole"));
+}
+
 TEST_CASE("the directory sends fewer callers to a busy VM") {
   ingress_options Options;
   Options.Vm.Name = vm_name("vm-0");
