A new version that is several times slower counts as bad

An answer counted as bad only when it failed or its caller's deadline passed: answers of the new version took 700 ms in the mean (old: 92), 5 to 20 of 100 reached the deadline of 1,200 ms, which is below the fifth that shows a fault. Whether it was found before all traffic moved was a matter of chance.

Tests: a version four times as slow is found within ten answers; a good one whose objects are all unknown, and a load that slows both threefold, are no fault.

--- a/include/sesamepaddle/moves/fleet_rollout.h
+++ b/include/sesamepaddle/moves/fleet_rollout.h
@@ -3,6 +3,7 @@
 
 #include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/core/identifiers.h"
+#include "sesamepaddle/moves/usual_latency.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -75,6 +76,12 @@
   /** Counts an answer. @p IsBad when it failed or came too late. */
   void observe(const route_name &Route, bool IsNew, bool IsBad);
 
+  /** Counts an answer that did not fail: as a bad one when it took several
+      times as long as answers of the old version do.
+      @param IsKnownObject  the endpoint had handled the object before */
+  void observeLatency(const route_name &Route, bool IsNew, bool IsKnownObject,
+                      duration Took);
+
   /** Replaces the latest report of the peer @p Vm. */
   void applyPeer(const std::string &Vm, rollout_report Report);
 
@@ -115,6 +122,7 @@
   std::uint64_t Requests = 0; ///< that this VM drew a version for
   std::uint64_t SentToNew = 0;
   counts_by_route Own;
+  std::map<std::string, usual_latency> UsualByRoute;
   std::map<std::string, rollout_report> Peers;
   std::deque<snapshot> Snapshots; ///< of sum(), to judge the latest answers
   time_point ShiftStart{};
--- a/include/sesamepaddle/moves/moves.h
+++ b/include/sesamepaddle/moves/moves.h
@@ -9,6 +9,7 @@
 #include "sesamepaddle/moves/move_record.h"
 #include "sesamepaddle/moves/route_evidence.h"
 #include "sesamepaddle/moves/traffic_ramp.h"
+#include "sesamepaddle/moves/usual_latency.h"
 #include "sesamepaddle/moves/version_comparison.h"
 #include "sesamepaddle/moves/version_move.h"
 
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -132,6 +132,7 @@
   std::string Endpoint;
   bool IsKnown = false; ///< it had answered for the object before
   unsigned Load = 0;    ///< requests that it ran or queued
+  time_point SentAt{};  ///< start of the latest attempt
 };
 
 request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
@@ -408,9 +409,15 @@
   if (auto Found = Fleet.rollouts().find(State.Service);
       Found != Fleet.rollouts().end() && IsFirst && !Endpoint.isCold(Now)) {
     const bool IsAnswer = Result.End == exchange_end::Answered;
-    if (!IsAnswer || classify(Result.Reply, Fields) != answer_meaning::NotRun)
-      Found->second.observe(State.Route->Name, State.Version.IsNew,
-                            !IsAnswer || isFaultStatus(Result.Reply.Status));
+    const bool IsNotRun =
+        IsAnswer && classify(Result.Reply, Fields) == answer_meaning::NotRun;
+    if (!IsAnswer || isFaultStatus(Result.Reply.Status)) {
+      if (!IsNotRun)
+        Found->second.observe(State.Route->Name, State.Version.IsNew, true);
+    } else {
+      Found->second.observeLatency(State.Route->Name, State.Version.IsNew,
+                                   State.IsKnown, Now - State.SentAt);
+    }
   }
 }
 
@@ -470,6 +477,7 @@
     State.Endpoint = Placed.Endpoint->Record.Id.str();
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
+    State.SentAt = Now;
     const auto Result = co_await exchange(State, Placed.Endpoint);
     State.LastEnd = Result.End;
     absl::StrAppend(&State.AttemptLog, State.AttemptLog.empty() ? "" : ",",
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -121,6 +121,14 @@
     ++(IsBad ? Counts.OldBad : Counts.OldGood);
 }
 
+void fleet_rollout::observeLatency(const route_name &Route, bool IsNew,
+                                   bool IsKnownObject, duration Took) {
+  auto &Usual = UsualByRoute[Route.str()];
+  observe(Route, IsNew, Usual.isSlow(IsKnownObject, Took));
+  if (!IsNew)
+    Usual.add(IsKnownObject, Took);
+}
+
 void fleet_rollout::applyPeer(const std::string &Vm, rollout_report Report) {
   IsFaulty = IsFaulty || Report.IsFaulty;
   if (Report.Recorded && !Recorded)
--- a/tests/moves/fleet_rollout_test.cpp
+++ b/tests/moves/fleet_rollout_test.cpp
@@ -163,3 +163,63 @@
     Rollout.drawNew(0.9, 8);
   CHECK_FALSE(Rollout.drawNew(0.9, 8));
 }
+
+// A version may answer everything, several times more slowly. Its requests end
+// at their callers' deadlines only at times, too seldom to show before all
+// traffic moves to it.
+TEST_CASE("a version that is several times slower is bad") {
+  constexpr milliseconds Known{95};
+  constexpr milliseconds Unknown{240};
+  std::mt19937_64 Random(5);
+  std::lognormal_distribution<> Spread(0, 0.15);
+  const auto Draw = [&](milliseconds Mean, double Factor) {
+    return duration(static_cast<std::int64_t>(
+        Factor * Spread(Random) * static_cast<double>(duration(Mean).count())));
+  };
+  fleet_rollout Rollout(Order, {}, Start);
+  const route_name Route("chart");
+  time_point Now = Start;
+  const auto AnswerOld = [&](int Count, double Factor) {
+    for (int Answer = 0; Answer < Count; ++Answer)
+      Rollout.observeLatency(Route, false, true, Draw(Known, Factor));
+  };
+  /** The first half for objects that the new endpoints have not handled. */
+  const auto AnswerNew = [&](int Count, double Factor) {
+    for (int Answer = 0; Answer < Count; ++Answer) {
+      const bool IsKnown = 2 * Answer >= Count;
+      Rollout.observeLatency(Route, true, IsKnown,
+                             Draw(IsKnown ? Known : Unknown, Factor));
+    }
+  };
+  const auto IsFaulty = [&] {
+    Now += milliseconds(500);
+    Rollout.advance(Now, true);
+    return Rollout.proposal() == rollout_outcome::RolledBack;
+  };
+
+  SUBCASE("it is found within some answers") {
+    AnswerOld(200, 1);
+    AnswerNew(10, 4);
+    CHECK(IsFaulty());
+  }
+  SUBCASE("a good version whose endpoints know no object yet is not") {
+    for (int Round = 0; Round < 20; ++Round) {
+      AnswerOld(200, 1);
+      AnswerNew(20, 1);
+      CHECK_FALSE(IsFaulty());
+    }
+  }
+  SUBCASE("a load that slows both versions is no fault of the new one") {
+    AnswerOld(200, 1);
+    for (int Round = 0; Round < 20; ++Round) {
+      AnswerOld(200, 3);
+      AnswerNew(20, 3);
+      CHECK_FALSE(IsFaulty());
+    }
+  }
+  SUBCASE("nothing is called slow while the usual time is not known") {
+    AnswerOld(5, 1);
+    AnswerNew(20, 4);
+    CHECK_FALSE(IsFaulty());
+  }
+}
