Slow answers count against a version only before all traffic moves

Change: while all traffic moves, only failures and missed deadlines count.

Test: answers four times as slow during the shift are no fault.

--- a/include/sesamepaddle/moves/fleet_rollout.h
+++ b/include/sesamepaddle/moves/fleet_rollout.h
@@ -77,7 +77,8 @@
   void observe(const route_name &Route, bool IsNew, bool IsBad);
 
   /** Counts an answer that did not fail: as a bad one when it took several
-      times as long as answers of the old version do.
+      times as long as answers of the old version do and not all traffic is
+      moving yet.
       @param IsKnownObject  the endpoint had handled the object before */
   void observeLatency(const route_name &Route, bool IsNew, bool IsKnownObject,
                       duration Took);
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -121,10 +121,12 @@
     ++(IsBad ? Counts.OldBad : Counts.OldGood);
 }
 
+// Once all traffic moves, the endpoints of the new version meet all objects at
+// once, and the queues slow good versions down as well.
 void fleet_rollout::observeLatency(const route_name &Route, bool IsNew,
                                    bool IsKnownObject, duration Took) {
   auto &Usual = UsualByRoute[Route.str()];
-  observe(Route, IsNew, Usual.isSlow(IsKnownObject, Took));
+  observe(Route, IsNew, !IsShifting && Usual.isSlow(IsKnownObject, Took));
   if (!IsNew)
     Usual.add(IsKnownObject, Took);
 }
--- a/tests/moves/fleet_rollout_test.cpp
+++ b/tests/moves/fleet_rollout_test.cpp
@@ -217,6 +217,16 @@
       CHECK_FALSE(IsFaulty());
     }
   }
+  SUBCASE("the queues while all traffic moves are no fault either") {
+    AnswerOld(200, 1);
+    AnswerNew(20, 1);
+    Now = Start + Order.Duration - milliseconds(3'400);
+    CHECK_FALSE(IsFaulty());
+    for (int Round = 0; Round < 4; ++Round) {
+      AnswerNew(100, 4);
+      CHECK_FALSE(IsFaulty());
+    }
+  }
   SUBCASE("nothing is called slow while the usual time is not known") {
     AnswerOld(5, 1);
     AnswerNew(20, 4);
