Tries to reach an absent store are bounded over all VMs

While the store is away each VM tried again every 1.2 s, one without a configuration every 0.25 s with up to three calls: 295 VMs make 250 to 3,500 calls a second.

Change: the decision is one function of the fleet's state. Fleets below 24 VMs a region and 62 in all try as before.

Test: the sum of the tries of fleets of 10 and 295 VMs.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -87,6 +87,10 @@
       them may be the only VM that can reach the store. */
   bool isStoreProber(time_point Now) const;
 
+  /** @returns the time until this VM's next try after it failed to reach the
+      store. */
+  std::chrono::milliseconds storeRetryInterval(time_point Now) const;
+
   /** Replaces the in-flight requests that @p Vm reported. */
   void applyLoads(const vm_name &Vm, std::vector<endpoint_load> Loads,
                   time_point Now);
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -39,6 +39,19 @@
 // A VM that has been silent for this long, or for SilentIntervals if that is
 // longer, is not chosen as a reader: more than two messages are missing.
 constexpr std::chrono::milliseconds MinReaderSilence{1'300};
+// Tries to reach the store after a failure. Each call costs money, and a store
+// that recovers must not be flooded, so the tries of all VMs together are
+// bounded. The probers try at ProberRetryInterval; the others learn from them,
+// but the store may turn some VMs away and serve the rest: in a region one of
+// them tries every 50 ms on average.
+constexpr std::chrono::milliseconds ProberRetryInterval{250};
+constexpr std::chrono::milliseconds MinRetryInterval{1'200};
+constexpr std::chrono::milliseconds RetryIntervalPerNearVm{50};
+// A VM without a configuration can serve no caller. It tries more often, and
+// asks another VM each time, which spreads a configuration over a fleet within
+// some of these intervals.
+constexpr std::chrono::milliseconds StartRetryIntervalPerVm{4};
+constexpr std::chrono::milliseconds MaxStartRetryInterval{1'000};
 // With fewer other VMs than this, readers serve all regions.
 constexpr std::size_t SmallFleetVms = 16;
 // Minimum gossip intervals, to near and to far VMs. Bandwidth between regions
@@ -172,6 +185,18 @@
   return static_cast<std::size_t>(Before) < readersWanted();
 }
 
+std::chrono::milliseconds
+fleet_state::storeRetryInterval(time_point Now) const {
+  using std::chrono::milliseconds;
+  if (isStoreProber(Now))
+    return ProberRetryInterval;
+  if (!Configuration)
+    return std::clamp<milliseconds>(StartRetryIntervalPerVm * vmCount(),
+                                    ProberRetryInterval, MaxStartRetryInterval);
+  return std::max<milliseconds>(MinRetryInterval,
+                                RetryIntervalPerNearVm * (NearVms + 1));
+}
+
 bool fleet_state::isReaderFor(const known_vm &Vm) const {
   return Vms.size() < SmallFleetVms || isNear(Vm);
 }
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -90,6 +90,39 @@
   }
 }
 
+// While the store is away, each try costs money, and one that comes back must
+// not be flooded by the tries of a large fleet.
+TEST_CASE("tries to reach the store are bounded over all VMs") {
+  const auto TriesPerSecond = [](const vm_fleet &Fleet) {
+    double Tries = 0;
+    for (const auto &State : Fleet.States)
+      Tries +=
+          1e3 / static_cast<double>(State.storeRetryInterval(Start).count());
+    return Tries;
+  };
+  const auto Configure = [](vm_fleet &Fleet) {
+    for (auto &State : Fleet.States) {
+      configuration_content Content;
+      Content.Version = 1;
+      State.setConfiguration(
+          std::make_shared<fleet_configuration>(std::move(Content)));
+    }
+  };
+  vm_fleet Small(10);
+  vm_fleet Large(295);
+
+  SUBCASE("VMs without a configuration try more often, a small fleet always") {
+    CHECK(TriesPerSecond(Small) == doctest::Approx(10 * 4.0));
+    CHECK(TriesPerSecond(Large) < 350);
+  }
+  SUBCASE("VMs that can serve leave most tries to the probers") {
+    Configure(Small);
+    Configure(Large);
+    CHECK(TriesPerSecond(Small) == doctest::Approx(4 + 9 / 1.2));
+    CHECK(TriesPerSecond(Large) < 9 * 4 + 3 * 20 + 1);
+  }
+}
+
 // Message intervals follow from the number of near and far VMs, which is kept
 // while VMs are learned from the store and heard for the first time.
 TEST_CASE("a VM counts as near once its region is known") {
