--- a/tests/adapter/store_synchronizer_test.cpp
+++ b/tests/adapter/store_synchronizer_test.cpp
@@ -1,5 +1,7 @@
 #include "adapter/scripted_store.h"
 #include "platform/store_synchronizer.h"
+#include "sesamepaddle/net/http_server.h"
+#include "sesamepaddle/steering/rendezvous.h"
 
 #include <doctest/doctest.h>
 
@@ -8,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace sesamepaddle;
 using namespace sesamepaddle::adapter;
@@ -197,6 +200,65 @@
   }
 }
 
+// A reader may be short of processor time, as all are while a fleet starts. If
+// each of its followers read the store then, a fleet of 295 VMs would make two
+// thousand calls.
+TEST_CASE("when its reader does not answer, a VM asks another one first") {
+  synchronizer_fixture Fixture;
+  std::size_t SilentPolls = 0;
+  std::size_t FreshPolls = 0;
+  const auto Silent = http_server::start(
+      Fixture.Pool, "127.0.0.1:0",
+      [&](const http_exchange &) -> awaitable<http_reply> {
+        ++SilentPolls;
+        asio::steady_timer Timer(co_await asio::this_coro::executor,
+                                 std::chrono::seconds(5));
+        co_await Timer.async_wait(asio::use_awaitable);
+        co_return http_reply{};
+      });
+  const auto Fresh = http_server::start(
+      Fixture.Pool, "127.0.0.1:0",
+      [&](const http_exchange &) -> awaitable<http_reply> {
+        ++FreshPolls;
+        co_return makeJsonReply(200, R"({"fresh":true,"lapse_ms":0})");
+      });
+  REQUIRE(Silent.ok());
+  REQUIRE(Fresh.ok());
+  Fixture.start();
+  Fixture.awaitFirstRead();
+  // The VM whose name has the lowest hash reads for the others.
+  std::vector<std::string> Names;
+  for (int Number = 0; Names.size() < 2; ++Number) {
+    const auto Name = "reader-" + std::to_string(Number);
+    if (stableHash(Name) < stableHash("vm-1"))
+      Names.push_back(Name);
+  }
+  if (stableHash(Names[1]) < stableHash(Names[0]))
+    std::swap(Names[0], Names[1]);
+  const auto Introduce = [&] {
+    for (std::size_t Index = 0; Index < 2; ++Index) {
+      known_vm Vm;
+      Vm.Name = vm_name(Names[Index]);
+      Vm.Region = region_name("lima");
+      Vm.PeerHttpAddress =
+          formatEndpoint((Index == 0 ? *Silent : *Fresh)->localEndpoint());
+      Vm.IsReady = true;
+      Vm.LastHeard = boot_clock::now();
+      Fixture.Fleet.applyVm(std::move(Vm));
+    }
+  };
+  Fixture.await([&] {
+    Introduce();
+    return SilentPolls > 0;
+  });
+  const auto Calls = Fixture.onThread([&] { return Fixture.Store.Calls; });
+  Fixture.await([&] {
+    Introduce();
+    return FreshPolls >= 3;
+  });
+  CHECK(Fixture.onThread([&] { return Fixture.Store.Calls; }) == Calls);
+}
+
 TEST_CASE("a VM that starts while the store is away") {
   synchronizer_fixture Fixture;
   Fixture.Store.Behavior = store_behavior::Busy;
