--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -125,6 +125,12 @@
          Now - LastStoreContact < StoreFreshness;
 }
 
+std::chrono::milliseconds fleet_state::rowAge(time_point Now) const {
+  if (!RowsAsOf)
+    return std::chrono::milliseconds::max();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Now - *RowsAsOf);
+}
+
 const known_vm *fleet_state::storeReader(time_point Now) const {
   struct candidate {
     std::uint64_t Order;
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -200,6 +200,7 @@
         Fleet.endpoints().size(), "\nsesamepaddle_vms ", Fleet.vmCount(),
         "\nsesamepaddle_configuration_version ",
         Fleet.configuration() ? Fleet.configuration()->version() : 0,
+        "\nsesamepaddle_row_age_ms ", Fleet.rowAge(boot_clock::now()).count(),
         "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
   }
 
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -594,6 +594,7 @@
         "request id=", State.RequestId, " status=", Reply.Status,
         " reason=", State.Reason, " route=", Route,
         " version=", State.Configuration ? State.Configuration->version() : 0,
+        " rows_ms=", Fleet.rowAge(State.SentAt).count(),
         " service=", State.Service.str(), " workspace=", Workspace,
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
         " load=", State.Load, " attempts=", State.SentAttempts,
