--- a/tests/adapter/scripted_store.cpp
+++ b/tests/adapter/scripted_store.cpp
@@ -61,6 +61,10 @@
   if (Behavior == store_behavior::Busy)
     co_return makeJsonReply(503, "{}");
   const auto Path = targetPath(Request.Target);
+  const auto Table = queryValue(Request.Target, "table");
+  if (SilentTables.contains(Table))
+    co_await pause(std::chrono::hours(1));
+  ++AnsweredReads[Table];
   if (Path == "/rows-get")
     co_return readRows(Request.Target);
   if (Path == "/rows-feed")
@@ -91,7 +95,9 @@
   return json{{"rows", std::move(List)},
               {"hasMore", false},
               {"schemaVersion", Revision},
-              {"currentTimeS", 100.0}}
+              {"currentTimeS", std::chrono::duration<double>(
+                                   std::chrono::steady_clock::now() - StartedAt)
+                                   .count()}}
       .dump();
 }
 
--- a/tests/adapter/scripted_store.h
+++ b/tests/adapter/scripted_store.h
@@ -4,10 +4,12 @@
 #include "sesamepaddle/net/http_server.h"
 #include "sesamepaddle/net/worker_pool.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -42,7 +44,9 @@
   void dropHistory() { OldestKept = Revision; }
 
   store_behavior Behavior = store_behavior::Serving;
-  std::size_t Calls = 0; ///< requests received
+  std::set<std::string> SilentTables; ///< whose reads are not answered
+  std::size_t Calls = 0;              ///< requests received
+  std::map<std::string, std::size_t> AnsweredReads; ///< by table
 
 private:
   struct row {
@@ -59,6 +63,8 @@
 
   std::map<std::pair<std::string, std::string>, row> Rows;
   std::uint64_t Revision = 0;
+  std::chrono::steady_clock::time_point StartedAt =
+      std::chrono::steady_clock::now();
   std::uint64_t OldestKept = 0; ///< the oldest revision a feed may start from
   std::unique_ptr<http_server> Server;
 };
--- a/tests/adapter/store_synchronizer_test.cpp
+++ b/tests/adapter/store_synchronizer_test.cpp
@@ -1,127 +1,15 @@
-#include "adapter/scripted_store.h"
-#include "platform/store_synchronizer.h"
+#include "adapter/synchronizer_fixture.h"
 #include "sesamepaddle/net/http_server.h"
 #include "sesamepaddle/steering/rendezvous.h"
 
 #include <doctest/doctest.h>
 
 #include <chrono>
-#include <future>
-#include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 using namespace sesamepaddle;
 using namespace sesamepaddle::adapter;
-using std::chrono::milliseconds;
-
-namespace {
-
-std::string configurationText(unsigned Version) {
-  return R"({"version":)" + std::to_string(Version) +
-         R"(,"services":[{"name":"s1"}],"limits":{},"tenants":[],"hosts":[]})";
-}
-
-std::string endpointText(const std::string &State) {
-  return R"({"address":"10.128.0.9:8080","born":1234,"information":
-             {"service":"s1","version":"v1","zone":"lima-a","slots":5},
-             "status":{"state":")" +
-         State + R"(","sequence":4,"coldRemainingS":0}})";
-}
-
-/** A fake store and the synchronizer of one VM, on a thread of their own. */
-class synchronizer_fixture {
-public:
-  synchronizer_fixture() : Pool(Context), Store(Pool), Fleet(makeOptions()) {
-    Store.put("op", "config", configurationText(3));
-    Store.put("servers", "i-1", endpointText("ready"));
-    platform_settings Settings;
-    Settings.Ingress = makeOptions();
-    Settings.StoreAddress = Store.address();
-    Settings.Regions = {{"lima-a", "lima"}};
-    Synchronizer =
-        std::make_shared<store_synchronizer>(Context, Fleet, Settings);
-  }
-  ~synchronizer_fixture() {
-    Context.stop();
-    if (Thread.joinable())
-      Thread.join();
-  }
-  synchronizer_fixture(const synchronizer_fixture &) = delete;
-  synchronizer_fixture &operator=(const synchronizer_fixture &) = delete;
-
-  void start() {
-    Synchronizer->start();
-    Thread = std::thread([this] { Context.run(); });
-  }
-
-  /** Runs @p Work on the fixture's thread and waits for its result. */
-  template <typename Function> auto onThread(Function Work) {
-    std::promise<decltype(Work())> Result;
-    asio::post(Context, [&] { Result.set_value(Work()); });
-    return Result.get_future().get();
-  }
-
-  /** Polls @p Condition on the fixture's thread until it holds. If it never
-      does, the test's time limit ends the wait. */
-  template <typename Function> void await(Function Condition) {
-    while (!onThread(Condition))
-      std::this_thread::sleep_for(milliseconds(10));
-  }
-
-  /** Waits for both tables, which are read independently, in any order. */
-  void awaitFirstRead() {
-    await([&] {
-      return Fleet.endpoints().size() == 1 && Fleet.configuration() != nullptr;
-    });
-  }
-
-  /** Writes a row of the store, or removes it when there is no @p Value. */
-  void change(const std::string &Table, const std::string &Key,
-              std::optional<std::string> Value) {
-    onThread([&] {
-      Store.put(Table, Key, std::move(Value));
-      return true;
-    });
-  }
-
-  void setBehavior(store_behavior Behavior) {
-    onThread([&] {
-      Store.Behavior = Behavior;
-      return true;
-    });
-  }
-
-  std::uint64_t version() {
-    return onThread([&] {
-      return Fleet.configuration() ? Fleet.configuration()->version() : 0;
-    });
-  }
-
-  auto endpoint(const std::string &Id) {
-    return onThread([&] { return Fleet.endpoints().find(endpoint_id(Id)); });
-  }
-
-  asio::io_context Context{1};
-  worker_pool Pool;
-  scripted_store Store;
-  fleet_state Fleet;
-
-private:
-  static ingress_options makeOptions() {
-    ingress_options Options;
-    Options.Vm.Name = vm_name("vm-1");
-    Options.Vm.Region = region_name("lima");
-    Options.Vm.GossipAddress = "127.0.0.1:7740";
-    return Options;
-  }
-
-  std::shared_ptr<store_synchronizer> Synchronizer;
-  std::thread Thread;
-};
-
-} // namespace
 
 TEST_CASE("a VM follows the store") {
   synchronizer_fixture Fixture;
