VMs act on the age of the store's rows, not on what a reader claims (HOME)

Callers saw requests run outside their home region (HOME), with withdrawn keys (CONFIG), at endpoints that had left (DRAIN) and in evacuated failure domains (EVAC), through VMs in touch with the platform.

Cause: freshness was claimed, not measured. A VM called its rows fresh when any table had been answered within 1.2 s, so a silent feed of the operator's table was hidden by reads of endpoints, and each VM that passed rows on started the time anew. A VM that found its rows old tried its readers one after the other, 1.15 s each, and read the store at most once in storeRetryInterval, 4.9 s in a region of 98, although the store had never failed it.

Change: the age of rows comes from the store's clock and travels with them. refresh_schedule decides on it alone: above 1.5 s a VM reads the store itself, throttled only where the store has failed this VM. A reader answers when it has read both tables again, so that a follower's rows are no older than the reader's.

The stub of a fresh reader in 'when its reader does not answer...' now says up to when its rows hold, as readers do; its checks are as before.

--- a/include/sesamepaddle/ingress/ingress.h
+++ b/include/sesamepaddle/ingress/ingress.h
@@ -10,5 +10,6 @@
 #include "sesamepaddle/ingress/fleet_state.h"
 #include "sesamepaddle/ingress/ingress_node.h"
 #include "sesamepaddle/ingress/ingress_options.h"
+#include "sesamepaddle/ingress/refresh_schedule.h"
 
 #endif
--- /dev/null
+++ b/src/ingress/refresh_schedule.cpp
@@ -0,0 +1,34 @@
+#include "sesamepaddle/ingress/refresh_schedule.h"
+
+namespace sesamepaddle {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Changes have to be in force two seconds after the store has confirmed them.
+// The rest is for the read itself and for applying the rows.
+constexpr milliseconds MaxRowAge{1'500};
+// Between two reads by a VM that is no reader. Rows that are old although they
+// have just been read are not read again at once.
+constexpr milliseconds MinReadInterval{500};
+
+} // namespace
+
+bool refresh_schedule::isReadDue(const conditions &Conditions,
+                                 time_point Now) const {
+  if (!LastRead)
+    return true;
+  if (!IsAnswered && Now - *LastRead < Conditions.RetryInterval)
+    return false;
+  if (Conditions.IsReader)
+    return true;
+  return Conditions.RowAge > MaxRowAge && Now - *LastRead >= MinReadInterval;
+}
+
+void refresh_schedule::recordRead(bool WasAnswered, time_point Now) {
+  LastRead = Now;
+  IsAnswered = WasAnswered;
+}
+
+} // namespace sesamepaddle
--- a/tests/adapter/scripted_store.cpp
+++ b/tests/adapter/scripted_store.cpp
@@ -54,6 +54,12 @@
   return Found == Rows.end() ? std::nullopt : Found->second.Value;
 }
 
+double scripted_store::secondsNow() const {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                       StartedAt)
+      .count();
+}
+
 awaitable<http_reply> scripted_store::answer(const http_request &Request) {
   ++Calls;
   if (Behavior == store_behavior::Silent)
@@ -95,9 +101,7 @@
   return json{{"rows", std::move(List)},
               {"hasMore", false},
               {"schemaVersion", Revision},
-              {"currentTimeS", std::chrono::duration<double>(
-                                   std::chrono::steady_clock::now() - StartedAt)
-                                   .count()}}
+              {"currentTimeS", secondsNow()}}
       .dump();
 }
 
--- a/tests/adapter/scripted_store.h
+++ b/tests/adapter/scripted_store.h
@@ -40,6 +40,10 @@
   std::optional<std::string> value(const std::string &Table,
                                    const std::string &Key) const;
 
+  /** @returns the store's steady clock. */
+  double secondsNow() const;
+  std::uint64_t revision() const { return Revision; }
+
   /** Forgets all changes so far; a feed that asks for them gets 410. */
   void dropHistory() { OldestKept = Revision; }
 
--- a/tests/adapter/store_synchronizer_test.cpp
+++ b/tests/adapter/store_synchronizer_test.cpp
@@ -104,12 +104,12 @@
         co_await Timer.async_wait(asio::use_awaitable);
         co_return http_reply{};
       });
-  const auto Fresh = http_server::start(
-      Fixture.Pool, "127.0.0.1:0",
-      [&](const http_exchange &) -> awaitable<http_reply> {
-        ++FreshPolls;
-        co_return makeJsonReply(200, R"({"fresh":true,"lapse_ms":0})");
-      });
+  const auto Fresh =
+      http_server::start(Fixture.Pool, "127.0.0.1:0",
+                         [&](const http_exchange &) -> awaitable<http_reply> {
+                           ++FreshPolls;
+                           co_return makeJsonReply(200, Fixture.freshRows());
+                         });
   REQUIRE(Silent.ok());
   REQUIRE(Fresh.ok());
   Fixture.start();
--- a/tests/adapter/synchronizer_fixture.h
+++ b/tests/adapter/synchronizer_fixture.h
@@ -4,6 +4,8 @@
 #include "adapter/scripted_store.h"
 #include "platform/store_synchronizer.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <future>
 #include <memory>
@@ -90,6 +92,19 @@
     });
   }
 
+  /** @returns the answer of a reader that has just read the store and found
+      nothing new. */
+  std::string freshRows() const {
+    nlohmann::json Answer = {
+        {"fresh", true}, {"lapse_ms", 0}, {"store_s", Store.secondsNow()}};
+    for (const char *Table : {"op", "servers"})
+      Answer[Table] = {{"schemaVersion", Store.revision()},
+                       {"currentTimeS", Store.secondsNow()},
+                       {"whole", false},
+                       {"rows", nlohmann::json::array()}};
+    return Answer.dump();
+  }
+
   std::uint64_t version() {
     return onThread([&] {
       return Fleet.configuration() ? Fleet.configuration()->version() : 0;
