VMs with the most processor time read the store for the others

Cause: readers were the first by a hash of their names, so that nearly all of them had a tenth of a core.

Change: a VM tells its processor time (setting vm.cores, last element of the gossip message, which earlier versions ignore); readers and probers are ordered by it, then by the hash. VMs that are alike are ordered as before.

Tests: test_ingress 'VMs with little processor time do not read the store for others'.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -29,6 +29,7 @@
   std::string CallerAddress;
   std::string GossipAddress;
   std::string PeerHttpAddress;
+  double Cores = 0; ///< processor time; 0: unknown
   bool IsReady = false;
   bool IsBusy = false;      ///< short of processor time
   bool IsStoreLost = false; ///< its latest attempt to reach the store failed
@@ -184,6 +185,19 @@
     rollout_outcome Outcome;
   };
 
+  /** Place of a VM among those that read the store for others: the VMs with the
+      most processor time come first. */
+  struct reader_rank {
+    double Cores;
+    std::uint64_t NameHash;
+    bool operator<(const reader_rank &Other) const {
+      return Cores != Other.Cores ? Cores > Other.Cores
+                                  : NameHash < Other.NameHash;
+    }
+  };
+  reader_rank ownReaderRank() const;
+  static reader_rank readerRankOf(const known_vm &Vm);
+
   /** @returns true when @p Vm and this VM may read the store for each other:
       always in a small fleet, else only within a region. */
   bool isReaderFor(const known_vm &Vm) const;
--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -35,6 +35,8 @@
   incarnation Incarnation{};
   region_name Region;
   failure_domain_name FailureDomain;
+  /** Processor time of the VM, in cores; 0: unknown. */
+  double Cores = 0;
   std::string CallerAddress;
   std::string ReadinessAddress; ///< HTTP, as the two below
   std::string DirectoryAddress;
--- a/include/sesamepaddle/settings/yaml_reader.h
+++ b/include/sesamepaddle/settings/yaml_reader.h
@@ -55,6 +55,8 @@
   std::string optionalText(std::string_view Key, std::string_view Default);
   bool optionalFlag(std::string_view Key, bool Default);
   double requiredNumber(std::string_view Key, double Minimum, double Maximum);
+  double optionalNumber(std::string_view Key, double Default, double Minimum,
+                        double Maximum);
   std::int64_t optionalInteger(std::string_view Key, std::int64_t Default,
                                std::int64_t Minimum, std::int64_t Maximum);
   /** Reads a rate such as 50/s. @returns events per second. */
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -133,23 +133,23 @@
 
 const known_vm *fleet_state::storeReader(time_point Now) const {
   struct candidate {
-    std::uint64_t Order;
+    reader_rank Rank;
     const known_vm *Vm; ///< null: this VM
   };
   std::vector<candidate> Candidates;
   if (!IsStoreLost)
-    Candidates.push_back({stableHash(Options.Vm.Name.view()), nullptr});
+    Candidates.push_back({ownReaderRank(), nullptr});
   for (const auto &[Name, Vm] : Vms) {
     const auto Avoided = AvoidedReaders.find(Name);
     const bool IsAvoided =
         Avoided != AvoidedReaders.end() && Now < Avoided->second;
     if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided && isReaderFor(Vm) &&
         Now - Vm.LastHeard < silenceTimeout(Vm, MinReaderSilence))
-      Candidates.push_back({stableHash(Name.view()), &Vm});
+      Candidates.push_back({readerRankOf(Vm), &Vm});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const candidate &Left, const candidate &Right) {
-              return Left.Order < Right.Order;
+              return Left.Rank < Right.Rank;
             });
   Candidates.resize(std::min(Candidates.size(), readersWanted()));
   const known_vm *Chosen = nullptr;
@@ -159,8 +159,9 @@
     if (Candidate.Vm == nullptr)
       return nullptr;
     // Scores are positive, so a large weight ranks near readers first.
-    const double Score = rendezvousScore(
-        Own, Candidate.Order, isNear(*Candidate.Vm) ? NearReaderWeight : 1);
+    const double Score =
+        rendezvousScore(Own, Candidate.Rank.NameHash,
+                        isNear(*Candidate.Vm) ? NearReaderWeight : 1);
     if (Chosen == nullptr || Score > BestScore) {
       Chosen = Candidate.Vm;
       BestScore = Score;
@@ -169,6 +170,14 @@
   return Chosen;
 }
 
+fleet_state::reader_rank fleet_state::ownReaderRank() const {
+  return {Options.Vm.Cores, stableHash(Options.Vm.Name.view())};
+}
+
+fleet_state::reader_rank fleet_state::readerRankOf(const known_vm &Vm) {
+  return {Vm.Cores, stableHash(Vm.Name.view())};
+}
+
 std::size_t fleet_state::readersWanted() const {
   const auto Served =
       std::count_if(Vms.begin(), Vms.end(), [this](const auto &Entry) {
@@ -180,13 +189,13 @@
 }
 
 bool fleet_state::isStoreProber(time_point Now) const {
-  const auto Own = stableHash(Options.Vm.Name.view());
+  const auto Own = ownReaderRank();
   const auto Before =
       std::count_if(Vms.begin(), Vms.end(), [&](const auto &Entry) {
         return isReaderFor(Entry.second) &&
                Now - Entry.second.LastHeard <
                    silenceTimeout(Entry.second, MinReaderSilence) &&
-               stableHash(Entry.first.view()) < Own;
+               readerRankOf(Entry.second) < Own;
       });
   return static_cast<std::size_t>(Before) < readersWanted();
 }
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -96,10 +96,13 @@
   std::vector<gossip_load> Loads;
   std::vector<gossip_known_objects> Known;
   std::vector<gossip_vm> Vms;
+  /** Hundredths of a core that the sender has; 0: unknown. VMs of earlier
+      versions don't send this, the last element. */
+  std::uint32_t Cores = 0;
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsBusy,
                  IsStoreLost, WantsReply, KnownVms, Demand, Rollouts, Crashes,
-                 Health, Loads, Known, Vms)
+                 Health, Loads, Known, Vms, Cores)
 };
 
 /** Asks another VM for tokens of a workspace's limit, or grants them. */
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -207,6 +207,7 @@
   Message.GossipAddress = Vm.GossipAddress;
   Message.PeerHttpAddress = Vm.PeerHttpAddress;
   Message.IsStoreLost = Fleet.isStoreLost();
+  Message.Cores = toHundredths(Vm.Cores);
   Message.IsReady = !Fleet.IsDraining && Fleet.configuration() != nullptr;
   Message.IsBusy = Fleet.overload().isBusy(Now);
   Message.KnownVms = static_cast<std::uint32_t>(Fleet.vms().size());
@@ -430,6 +431,7 @@
   Vm.IsReady = Message.IsReady;
   Vm.IsBusy = Message.IsBusy;
   Vm.IsStoreLost = Message.IsStoreLost;
+  Vm.Cores = fromHundredths(Message.Cores);
   Vm.LastHeard = Now;
   Fleet.applyVm(Vm);
   Fleet.quota().applyPeer(Message.Name, demandOf(Message), Now,
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -94,6 +94,11 @@
   return parsed(Key, Parse, Accepted).value_or(Minimum);
 }
 
+double yaml_reader::optionalNumber(std::string_view Key, double Default,
+                                   double Minimum, double Maximum) {
+  return has(Key) ? requiredNumber(Key, Minimum, Maximum) : Default;
+}
+
 std::int64_t yaml_reader::optionalInteger(std::string_view Key,
                                           std::int64_t Default,
                                           std::int64_t Minimum,
--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -127,7 +127,7 @@
 
 TEST_CASE("settings filled in by the platform are parsed") {
   const std::string Text = R"(
-vm: { name: "front-1", region: "lima", failure_domain: "lima-a", memory_megabytes: 260 }
+vm: { name: "front-1", region: "lima", failure_domain: "lima-a", cores: 0.2, memory_megabytes: 260 }
 addresses: { callers: "10.1.0.4:8346", readiness: "10.1.0.4:8340", directory: "10.1.0.4:8344",
   first_peer_port: 7000, metrics_port: 9464, seeds: ["10.1.0.5:8342"] }
 store: "10.200.1.7:8341"
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -90,6 +90,46 @@
   }
 }
 
+// A reader without processor time answers late, and all VMs that it reads for
+// decide by outdated rows.
+TEST_CASE("VMs with little processor time do not read the store for others") {
+  std::vector<fleet_state> States;
+  const auto CoresOf = [](int Vm) { return Vm % 10 == 7 ? 0.5 : 0.1; };
+  const auto NameOf = [](int Vm) {
+    return vm_name("vm-" + std::to_string(Vm));
+  };
+  for (int Vm = 0; Vm < 100; ++Vm) {
+    ingress_options Options;
+    Options.Vm.Name = NameOf(Vm);
+    Options.Vm.Region = region_name("lima");
+    Options.Vm.Cores = CoresOf(Vm);
+    States.emplace_back(Options);
+  }
+  for (auto &State : States)
+    for (int Vm = 0; Vm < 100; ++Vm) {
+      known_vm Known;
+      Known.Name = NameOf(Vm);
+      Known.Region = region_name("lima");
+      Known.Cores = CoresOf(Vm);
+      Known.IsReady = true;
+      Known.LastHeard = Start;
+      State.applyVm(Known);
+    }
+  std::size_t Readers = 0;
+  for (int Vm = 0; Vm < 100; ++Vm) {
+    const auto &State = States[static_cast<std::size_t>(Vm)];
+    const auto *Reader = State.storeReader(Start);
+    if (Reader != nullptr) {
+      CHECK(Reader->Cores == 0.5);
+      continue;
+    }
+    CHECK(CoresOf(Vm) == 0.5);
+    CHECK(State.isStoreProber(Start));
+    ++Readers;
+  }
+  CHECK(Readers == 3);
+}
+
 // While the store is away, each try costs money, and one that comes back must
 // not be flooded by the tries of a large fleet.
 TEST_CASE("tries to reach the store are bounded over all VMs") {
