--- a/tests/adapter/table_copy_test.cpp
+++ b/tests/adapter/table_copy_test.cpp
@@ -1,6 +1,10 @@
 #include "platform/table_copy.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
 
 using namespace sesamepaddle::adapter;
 
@@ -27,3 +31,33 @@
   CHECK(Apply("a", "r1", 5) == 1);
   CHECK(Apply("a", "d1", 4) == 0);
 }
+
+TEST_CASE("changes that were encoded for one VM are not repeated to another "
+          "after newer ones") {
+  table_copy Copy;
+  const auto Apply = [&](std::uint64_t Revision) {
+    store_rows Rows;
+    Rows.Revision = Revision;
+    Rows.Rows = {{"a", "r" + std::to_string(Revision), Revision}};
+    Copy.apply(std::move(Rows), false);
+  };
+  const auto RevisionsSince = [&](std::uint64_t Since) {
+    bool IsWhole = false;
+    const auto Rows = readChanges(
+        nlohmann::json::parse(Copy.changesSince(Since, 7.5)), IsWhole);
+    REQUIRE(Rows.ok());
+    CHECK(Rows->StoreSeconds == 7.5);
+    CHECK(IsWhole == (Since == 0));
+    std::vector<std::uint64_t> Revisions;
+    for (const auto &Row : Rows->Rows)
+      Revisions.push_back(Row.Revision);
+    return Revisions;
+  };
+  Apply(1);
+  for (int Vm = 0; Vm < 2; ++Vm)
+    CHECK(RevisionsSince(0) == std::vector<std::uint64_t>{1});
+  CHECK(RevisionsSince(1).empty());
+  Apply(2);
+  CHECK(RevisionsSince(0) == std::vector<std::uint64_t>{2});
+  CHECK(RevisionsSince(1) == std::vector<std::uint64_t>{2});
+}
