A rollout goes on only with recent orders

Change: isStoreFresh() is the age of the older table; there is no second measure.

Test: test_adapter 'a rollout does not go on with old orders because endpoints are read' failed before with 'CHECK_FALSE( true )'.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -69,17 +69,14 @@
   void recordRollout(const service_name &Service, const version_name &To,
                      rollout_outcome Outcome);
 
-  /** Records that the store answered, directly or through a reader. */
-  void recordStoreContact(time_point Now) { LastStoreContact = Now; }
-  /** @returns true when the store answered within the last few seconds. */
-  bool isStoreFresh(time_point Now) const;
-
   /** Sets the time up to which configuration and endpoints include all changes
       in the store. */
   void setRowsAsOf(time_point Time) { RowsAsOf = Time; }
   /** @returns how long ago that time was; the longest time before the first
       read. */
   std::chrono::milliseconds rowAge(time_point Now) const;
+  /** @returns true when that age is a few seconds at most. */
+  bool isStoreFresh(time_point Now) const;
 
   /** Sets whether this VM's latest attempt to reach the store failed. */
   void setStoreLost(bool IsLost) { IsStoreLost = IsLost; }
@@ -224,7 +221,6 @@
   std::set<failure_domain_name> Evacuated;
   std::map<vm_name, time_point> AvoidedReaders; ///< end of exclusion
   std::map<vm_name, vm_loads> VmLoads;
-  time_point LastStoreContact{};
   std::optional<time_point> RowsAsOf;
   bool IsStoreLost = false;
   std::mt19937_64 Random;
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// The store counts as fresh for this long after an answer: two one-second
-// rounds of the reader, and a margin.
+// Rows up to this age are recent enough to move all traffic to a new version:
+// two rounds of the reader, and a margin.
 constexpr std::chrono::milliseconds StoreFreshness{2'500};
 // Callers pick one of the addresses at random, so VMs outside the caller's own
 // failure domain are added only below this number. With two, one failed VM
@@ -121,8 +121,7 @@
 }
 
 bool fleet_state::isStoreFresh(time_point Now) const {
-  return LastStoreContact != time_point{} &&
-         Now - LastStoreContact < StoreFreshness;
+  return rowAge(Now) < StoreFreshness;
 }
 
 std::chrono::milliseconds fleet_state::rowAge(time_point Now) const {
--- a/tests/adapter/row_age_test.cpp
+++ b/tests/adapter/row_age_test.cpp
@@ -116,3 +116,24 @@
   }
   CHECK(FreshAnswers == 0);
 }
+
+TEST_CASE("a rollout does not go on with old orders because endpoints are "
+          "read") {
+  synchronizer_fixture Fixture;
+  Fixture.start();
+  Fixture.awaitFirstRead();
+  const auto IsStoreFresh = [&] {
+    return Fixture.Fleet.isStoreFresh(boot_clock::now());
+  };
+  Fixture.await(IsStoreFresh);
+  Fixture.onThread([&] {
+    Fixture.Store.SilentTables = {"op"};
+    return true;
+  });
+  const auto EndpointReads = [&] {
+    return Fixture.Store.AnsweredReads["servers"];
+  };
+  const auto Before = Fixture.onThread(EndpointReads);
+  Fixture.await([&] { return EndpointReads() >= Before + 6; });
+  CHECK_FALSE(Fixture.onThread(IsStoreFresh));
+}
