--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -29,6 +29,7 @@
   std::string CallerAddress;
   std::string GossipAddress;
   std::string PeerHttpAddress;
+  double Cores = 0; ///< processor time; 0: unknown
   bool IsReady = false;
   bool IsBusy = false;      ///< short of processor time
   bool IsStoreLost = false; ///< its latest attempt to reach the store failed
@@ -68,9 +69,13 @@
   void recordRollout(const service_name &Service, const version_name &To,
                      rollout_outcome Outcome);
 
-  /** Records that the store answered, directly or through a reader. */
-  void recordStoreContact(time_point Now) { LastStoreContact = Now; }
-  /** @returns true when the store answered within the last few seconds. */
+  /** Sets the time up to which configuration and endpoints include all changes
+      in the store. */
+  void setRowsAsOf(time_point Time) { RowsAsOf = Time; }
+  /** @returns how long ago that time was; the longest time before the first
+      read. */
+  std::chrono::milliseconds rowAge(time_point Now) const;
+  /** @returns true when that age is a few seconds at most. */
   bool isStoreFresh(time_point Now) const;
 
   /** Sets whether this VM's latest attempt to reach the store failed. */
@@ -177,6 +182,19 @@
     rollout_outcome Outcome;
   };
 
+  /** Place of a VM among those that read the store for others: the VMs with the
+      most processor time come first. */
+  struct reader_rank {
+    double Cores;
+    std::uint64_t NameHash;
+    bool operator<(const reader_rank &Other) const {
+      return Cores != Other.Cores ? Cores > Other.Cores
+                                  : NameHash < Other.NameHash;
+    }
+  };
+  reader_rank ownReaderRank() const;
+  static reader_rank readerRankOf(const known_vm &Vm);
+
   /** @returns true when @p Vm and this VM may read the store for each other:
       always in a small fleet, else only within a region. */
   bool isReaderFor(const known_vm &Vm) const;
@@ -203,7 +221,7 @@
   std::set<failure_domain_name> Evacuated;
   std::map<vm_name, time_point> AvoidedReaders; ///< end of exclusion
   std::map<vm_name, vm_loads> VmLoads;
-  time_point LastStoreContact{};
+  std::optional<time_point> RowsAsOf;
   bool IsStoreLost = false;
   std::mt19937_64 Random;
 };
