A refusal without the request's id does not say that the request did not run

What callers see: 503 'not run, try again' for an at-most-once request that an endpoint ran (REFUSED), or a second run of it at another endpoint (TWICE).

Cause: answers with the id of another request are dropped, but one without any id counted as the answer to the current request. A faulty endpoint that writes an earlier refusal once more without its id was believed.

Change: 'not run' (the header, or status 421) is believed only of an answer with the request's id; without it the outcome is unknown: 502, no second attempt of an at-most-once request. On a reused connection no answer without an id is taken, as it may be of an earlier request, whatever its status; the connection is closed.

A repeated refusal that has the earlier id was dropped before, too.

--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -66,15 +66,20 @@
   Final,    ///< the endpoint's answer, to be forwarded
   NotRun,   ///< the endpoint says that it did not run the request
   Replaced, ///< another endpoint has the address now; not run
-  Unproved, ///< a success without the endpoint's proof
+  Unproved, ///< a success or refusal that may be of another request
 };
 
-answer_meaning classify(const http_reply &Reply,
+answer_meaning classify(const exchange_result &Result,
                         const request_field_names &Fields) {
-  if (Reply.Status == 421)
-    return answer_meaning::Replaced;
-  if (!findHeader(Reply.Headers, Fields.NotRun).empty())
-    return answer_meaning::NotRun;
+  const auto &Reply = Result.Reply;
+  const bool IsReplaced = Reply.Status == 421;
+  if (IsReplaced || !findHeader(Reply.Headers, Fields.NotRun).empty()) {
+    // The endpoint may have sent it to refuse an earlier request or the
+    // connection, and run this request nevertheless.
+    if (!Result.HasRequestId)
+      return answer_meaning::Unproved;
+    return IsReplaced ? answer_meaning::Replaced : answer_meaning::NotRun;
+  }
   const bool IsSuccess = Reply.Status >= 200 && Reply.Status < 300;
   if (IsSuccess && findHeader(Reply.Headers, Fields.EndpointProof).empty())
     return answer_meaning::Unproved;
@@ -375,7 +380,7 @@
   case exchange_end::Cancelled:
     return;
   case exchange_end::Answered: {
-    const auto Meaning = classify(Result.Reply, Fields);
+    const auto Meaning = classify(Result, Fields);
     if (Meaning == answer_meaning::Replaced) {
       Endpoint.IsReplaced = true;
       return;
@@ -410,7 +415,7 @@
       Found != Fleet.rollouts().end() && IsFirst && !Endpoint.isCold(Now)) {
     const bool IsAnswer = Result.End == exchange_end::Answered;
     const bool IsNotRun =
-        IsAnswer && classify(Result.Reply, Fields) == answer_meaning::NotRun;
+        IsAnswer && classify(Result, Fields) == answer_meaning::NotRun;
     if (!IsAnswer || isFaultStatus(Result.Reply.Status)) {
       if (!IsNotRun)
         Found->second.observe(State.Route->Name, State.Version.IsNew, true);
@@ -498,7 +503,7 @@
     }
     ++State.SentAttempts;
     if (Result.End == exchange_end::Answered) {
-      const auto Meaning = classify(Result.Reply, Fields);
+      const auto Meaning = classify(Result, Fields);
       const bool IsNotRun = Meaning == answer_meaning::NotRun ||
                             Meaning == answer_meaning::Replaced;
       const bool IsFault = isFaultStatus(Result.Reply.Status);
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -157,8 +157,7 @@
   Cancel->OnCancel = [Connection] { Connection->close(); };
   write(Connection, Request);
   const bool IsReused = Result.IsReused;
-  Result = co_await readAnswer(Connection, Request, Limits.BodyBytes);
-  Result.IsReused = IsReused;
+  Result = co_await readAnswer(Connection, Request, IsReused, Limits.BodyBytes);
   Cancel->OnCancel = nullptr;
   if (Cancel->isCancelled() && Result.End != exchange_end::Answered)
     Result.End = exchange_end::Cancelled;
@@ -208,8 +207,9 @@
 awaitable<exchange_result>
 upstream_pool::readAnswer(connection_pointer Connection,
                           std::shared_ptr<const upstream_request> Request,
-                          std::size_t BodyBytes) {
+                          bool IsReused, std::size_t BodyBytes) {
   exchange_result Result;
+  Result.IsReused = IsReused;
   bool WasForeign = false;
   for (int Answer = 0; Answer <= MaxForeignAnswers; ++Answer) {
     http::response_parser<http::string_body> Parser;
@@ -242,6 +242,11 @@
         break;
       continue;
     }
+    if (IsReused && !HasId) {
+      Result.End = exchange_end::Malformed;
+      Result.Detail = "answer without a request id";
+      co_return Result;
+    }
     const bool HasLength = Request->IsHead || Parser.chunked() ||
                            Parser.content_length().has_value();
     Connection->IsReusable = Parser.keep_alive() && HasLength && HasId &&
@@ -256,6 +261,7 @@
       Connection->UsableUntil = boot_clock::now() + IdleTime;
     }
     Result.End = exchange_end::Answered;
+    Result.HasRequestId = HasId;
     Result.Reply = fromBeast(Parser.release());
     co_return Result;
   }
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -67,7 +67,8 @@
 /** Outcome of an exchange, with the answer when there is one. */
 struct exchange_result {
   exchange_end End = exchange_end::NotConnected;
-  bool IsReused = false; ///< an idle connection was used
+  bool IsReused = false;     ///< an idle connection was used
+  bool HasRequestId = false; ///< the answer has the id of its request
   http_reply Reply;
   std::string Detail; ///< of a failure, for people
 };
@@ -84,7 +85,8 @@
     A connection is reused only after a complete answer that has the id of its
     request and is followed by no further bytes. Answers to other requests are
     dropped: an endpoint may send a duplicate answer late, and it would be taken
-    for the answer to the next request.
+    for the answer to the next request. For the same reason an answer without an
+    id is Malformed on a reused connection.
 */
 class upstream_pool {
 public:
@@ -132,7 +134,7 @@
   /** Reads up to the answer to @p Request, dropping other answers. */
   awaitable<exchange_result>
   readAnswer(connection_pointer Connection,
-             std::shared_ptr<const upstream_request> Request,
+             std::shared_ptr<const upstream_request> Request, bool IsReused,
              std::size_t BodyBytes);
 
   std::string RequestIdField;
