An endpoint's 503, 429 or 408 is forwarded only if it says that it did not run

What callers see: 503, 429 or 408, which promise 'not run, and never will be', for an at-most-once request that an endpoint ran (REFUSED).

Cause: only the endpoint's own header says 'not run', but an answer with such a status and without the header was forwarded unchanged.

Change: such an answer leaves the outcome unknown: an idempotent request is sent again, others get 502, which promises nothing.

Evidence: test_ingress 'a status that promises 'not run' is not forwarded without the endpoint's word' failed before in all three parts: CHECK( isStatus(Fixture.post("/orders/1", "r1", "x"), 502) ) is NOT correct!

--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -66,9 +66,16 @@
   Final,    ///< the endpoint's answer, to be forwarded
   NotRun,   ///< the endpoint says that it did not run the request
   Replaced, ///< another endpoint has the address now; not run
-  Unproved, ///< a success or refusal that may be of another request
+  Unproved, ///< a success or refusal that may be of another request, or a
+            ///< promise to callers that the endpoint did not make
 };
 
+/** @returns true when callers take @p Status to mean that the request has not
+    run and never will. */
+bool isPromiseNotRun(unsigned Status) {
+  return Status == 408 || Status == 429 || Status == 503;
+}
+
 answer_meaning classify(const exchange_result &Result,
                         const request_field_names &Fields) {
   const auto &Reply = Result.Reply;
@@ -80,6 +87,8 @@
       return answer_meaning::Unproved;
     return IsReplaced ? answer_meaning::Replaced : answer_meaning::NotRun;
   }
+  if (isPromiseNotRun(Reply.Status))
+    return answer_meaning::Unproved;
   const bool IsSuccess = Reply.Status >= 200 && Reply.Status < 300;
   if (IsSuccess && findHeader(Reply.Headers, Fields.EndpointProof).empty())
     return answer_meaning::Unproved;
--- a/tests/ingress/refusals_test.cpp
+++ b/tests/ingress/refusals_test.cpp
@@ -136,3 +136,19 @@
     CHECK(countRequests(Fixture, "kept") == 1);
   }
 }
+
+// Callers take these statuses as a promise that the request never runs.
+TEST_CASE("a status that promises 'not run' is not forwarded without the "
+          "endpoint's word") {
+  std::string Status;
+  SUBCASE("503") { Status = "503 Service Unavailable"; }
+  SUBCASE("429") { Status = "429 Too Many Requests"; }
+  SUBCASE("408") { Status = "408 Request Timeout"; }
+  const auto Answer = [Status](const std::string &Request) {
+    return scripted_answer{makeAnswer(Request, "ran", Status), "", false, false,
+                           milliseconds(0)};
+  };
+  ingress_fixture Fixture({Answer, Answer});
+  CHECK(isStatus(Fixture.post("/orders/1", "r1", "x"), 502));
+  CHECK(countRequests(Fixture, "r1") == 1);
+}
