A connection carries no second request with the same id

What callers see: a request that is sent again with its id gets the repeated refusal of the first attempt, 503, although the endpoint runs it (REFUSED, TWICE).

Cause: answers are matched by id, and both attempts had the same one. It needs a caller that uses an id twice, or an endpoint whose entry is removed and comes back while a request is retried: tried endpoints are remembered by object, but kept connections by id and start time.

Change: a connection remembers the hashes of its last 64 ids and is passed over for a request with one of them.

Evidence: test_ingress 'a connection carries no second request with the same id' failed before: CHECK( isStatus(Fixture.post("/orders/1", "again", "x"), 200) ) is NOT correct! CHECK( Endpoint->connections() == 2 ) ... values: CHECK( 1 == 2 )

--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -2,6 +2,7 @@
 
 #include "sesamepaddle/core/text.h"
 #include "sesamepaddle/net/http_server.h"
+#include "sesamepaddle/steering/rendezvous.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds IdleMargin{1'500};
 // Bound on the idle connections that are kept after an exchange.
 constexpr std::size_t MaxIdlePerEndpoint = 16;
+// Bound on the ids that a connection remembers; the oldest is forgotten first.
+constexpr std::size_t MaxRememberedIds = 64;
 // Answers to other requests that are dropped before the connection is
 // abandoned.
 constexpr int MaxForeignAnswers = 3;
@@ -75,8 +78,20 @@
     Socket.close(Ignored);
   }
 
+  bool hasCarried(std::string_view RequestId) const {
+    return std::find(RequestIds.begin(), RequestIds.end(),
+                     stableHash(RequestId)) != RequestIds.end();
+  }
+
+  void remember(std::string_view RequestId) {
+    if (RequestIds.size() >= MaxRememberedIds)
+      RequestIds.erase(RequestIds.begin());
+    RequestIds.push_back(stableHash(RequestId));
+  }
+
   tcp::socket Socket;
   boost::beast::flat_buffer Buffer;
+  std::vector<std::uint64_t> RequestIds; ///< hashes, oldest first
   time_point UsableUntil{};
   bool IsWriting = false;  ///< a request is still being written
   bool IsReusable = false; ///< the last answer left it in a clean state
@@ -86,14 +101,17 @@
     : RequestIdField(std::move(Field)), Deadlines(Deadlines) {}
 
 upstream_pool::connection_pointer
-upstream_pool::take(const std::string &Endpoint, time_point Now) {
+upstream_pool::take(const std::string &Endpoint, std::string_view RequestId,
+                    time_point Now) {
   const auto Found = Idle.find(Endpoint);
   if (Found == Idle.end())
     return nullptr;
   auto &Connections = Found->second;
-  while (!Connections.empty()) {
-    auto Connection = std::move(Connections.back());
-    Connections.pop_back();
+  for (std::size_t Index = Connections.size(); Index-- > 0;) {
+    if (Connections[Index]->hasCarried(RequestId))
+      continue;
+    auto Connection = std::move(Connections[Index]);
+    Connections.erase(Connections.begin() + static_cast<std::ptrdiff_t>(Index));
     if (Now < Connection->UsableUntil && Connection->isQuiet())
       return Connection;
   }
@@ -135,7 +153,7 @@
                         std::shared_ptr<cancel_source> Cancel) {
   exchange_result Result;
   const auto Now = boot_clock::now();
-  auto Connection = take(Endpoint, Now);
+  auto Connection = take(Endpoint, Request->RequestId, Now);
   Result.IsReused = Connection != nullptr;
   if (!Connection) {
     const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -155,6 +173,7 @@
     Connection->close();
   });
   Cancel->OnCancel = [Connection] { Connection->close(); };
+  Connection->remember(Request->RequestId);
   write(Connection, Request);
   const bool IsReused = Result.IsReused;
   Result = co_await readAnswer(Connection, Request, IsReused, Limits.BodyBytes);
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -86,7 +86,8 @@
     request and is followed by no further bytes. Answers to other requests are
     dropped: an endpoint may send a duplicate answer late, and it would be taken
     for the answer to the next request. For the same reason an answer without an
-    id is Malformed on a reused connection.
+    id is Malformed on a reused connection, and a connection carries no second
+    request with the same id.
 */
 class upstream_pool {
 public:
@@ -121,8 +122,10 @@
   struct connection;
   using connection_pointer = std::shared_ptr<connection>;
 
-  /** @returns a usable idle connection, removed from the pool, or null. */
-  connection_pointer take(const std::string &Endpoint, time_point Now);
+  /** @returns a usable idle connection that has not carried a request with
+      @p RequestId, removed from the pool, or null. */
+  connection_pointer take(const std::string &Endpoint,
+                          std::string_view RequestId, time_point Now);
   /** @returns a new connection, or null. */
   awaitable<connection_pointer> open(const std::string &Address,
                                      std::chrono::milliseconds Timeout,
--- a/tests/ingress/refusals_test.cpp
+++ b/tests/ingress/refusals_test.cpp
@@ -152,3 +152,31 @@
   CHECK(isStatus(Fixture.post("/orders/1", "r1", "x"), 502));
   CHECK(countRequests(Fixture, "r1") == 1);
 }
+
+// The id does not tell a repeated refusal from the answer to a second request
+// with the same id.
+TEST_CASE("a connection carries no second request with the same id") {
+  scripted_endpoint *Endpoint = nullptr;
+  std::size_t Runs = 0;
+  ingress_fixture Fixture({[&](const std::string &Request) {
+    const auto Refusal = refusalTo(fieldOf(Request, "Id"));
+    auto Answer = answerWhole(Request);
+    if (fieldOf(Request, "Id") != "again")
+      return Answer;
+    if (Endpoint->requests().size() == 1) {
+      Answer.Bytes = Refusal;
+      return Answer;
+    }
+    ++Runs;
+    if (Endpoint->connections() == 1)
+      Answer.Bytes = Refusal + Answer.Bytes;
+    return Answer;
+  }});
+  Endpoint = &Fixture.endpoint(0);
+  REQUIRE(isStatus(Fixture.post("/orders/1", "again", "x"), 503));
+  REQUIRE(isStatus(Fixture.post("/orders/1", "other", "x"), 200));
+  REQUIRE(Endpoint->connections() == 1);
+  CHECK(isStatus(Fixture.post("/orders/1", "again", "x"), 200));
+  CHECK(Endpoint->connections() == 2);
+  CHECK(Runs == 1);
+}
