An answer with two request ids is malformed

What callers see: a 200 with the body of another request (MIXED).

Cause: when an endpoint stops within a field of its answer's head and an earlier answer follows on the connection, both parse as one head. It has two ids; the first was compared and the second ignored.

Change: more than one id ends the connection; the outcome is unknown.

An answer that stops in its head, in a body with a length or in a chunk is no success: basic_parser::put_eof gives partial_message and upstream_pool::readAnswer takes that as Lost; likewise after a reset in a body without a length, and for line ends and characters that HTTP does not allow.

--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -248,6 +248,12 @@
       co_return Result;
     }
     const auto &Message = Parser.get();
+    // The head of a cut answer may continue with another answer.
+    if (Message.count(RequestIdField) > 1) {
+      Result.End = exchange_end::Malformed;
+      Result.Detail = "several request ids";
+      co_return Result;
+    }
     const auto Field = Message.find(RequestIdField);
     const bool HasId = Field != Message.end();
     const bool IsInterim = Message.result_int() < 200;
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -13,6 +13,8 @@
 
 // Time between scripted_answer::Bytes and LateBytes.
 constexpr std::chrono::milliseconds LateBytesDelay{30};
+// Time between scripted_answer::Bytes and a reset after them.
+constexpr std::chrono::milliseconds ResetDelay{5};
 
 awaitable<void> pause(std::chrono::milliseconds Time) {
   asio::steady_timer Timer(co_await asio::this_coro::executor, Time);
@@ -96,6 +98,13 @@
     co_await asio::async_write(
         *Socket, asio::buffer(Answer.Bytes),
         asio::redirect_error(asio::use_awaitable, Error));
+    if (Answer.ResetsAfterBytes) {
+      // A reset discards bytes that the VM has not read yet.
+      co_await pause(ResetDelay);
+      Socket->set_option(asio::socket_base::linger(true, 0));
+      Socket->close();
+      co_return;
+    }
     while (!Answer.EndlessBytes.empty() && !Error)
       co_await asio::async_write(
           *Socket, asio::buffer(Answer.EndlessBytes),
--- a/tests/ingress/scripted_endpoint.h
+++ b/tests/ingress/scripted_endpoint.h
@@ -18,6 +18,7 @@
   bool Closes = false;   ///< closes the connection after the bytes
   bool Resets = false;   ///< resets the connection instead of answering
   std::chrono::milliseconds Delay{0}; ///< before the answer
+  bool ResetsAfterBytes = false;      ///< resets it after Bytes
   std::string EndlessBytes{}; ///< written after Bytes until the VM closes
 };
 
