An address with a sign, white space or a zero byte is refused

Seen by callers: none directly; "127.0.0.1: 80", "127.0.0.1:+80", a port followed by a line break and an address cut at a zero byte counted as proper addresses, also those that an endpoint's row names.

Cause: absl::SimpleAtoi() passes over a sign and white space, and make_address() reads a C string, so it ends at a zero byte.

Evidence: the new test failed before for these four texts, among others http_server_test.cpp:253: ERROR: CHECK_FALSE( parseEndpoint(Text).ok() ) is NOT correct! logged: Text := 127.0.0.1:+80 It passes for ports 65536, -1 and before and after: SimpleAtoi() refuses what does not fit and the bound does the rest.

The fix admits digits alone after the last colon, and no zero byte.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -404,7 +404,13 @@
   const auto Colon = Text.rfind(':');
   unsigned Port = 0;
   boost::system::error_code Error;
-  if (Colon != std::string_view::npos) {
+  // SimpleAtoi() passes over a sign and white space, make_address() over all
+  // after a zero byte.
+  const bool IsPlain =
+      Colon != std::string_view::npos &&
+      Text.find('\0') == std::string_view::npos &&
+      Text.find_first_not_of("0123456789", Colon + 1) == std::string_view::npos;
+  if (IsPlain) {
     const auto Address =
         asio::ip::make_address(std::string(Text.substr(0, Colon)), Error);
     if (!Error && absl::SimpleAtoi(toAbsl(Text.substr(Colon + 1)), &Port) &&
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -237,3 +237,19 @@
   CHECK(Echo.servesOthers());
   CHECK(Echo.Calls == 1);
 }
+
+TEST_CASE("an address with anything but digits for its port is refused") {
+  for (const std::string Text : {"127.0.0.1:0", "127.0.0.1:65535", "::1:80"})
+    CHECK(parseEndpoint(Text).ok());
+  for (const std::string &Text :
+       {std::string(), std::string(":"), std::string(":80"),
+        std::string("127.0.0.1"), std::string("127.0.0.1:"),
+        std::string("127.0.0.1:65536"), std::string("127.0.0.1:4294967376"),
+        std::string("127.0.0.1:-1"), std::string("127.0.0.1:+80"),
+        std::string("127.0.0.1: 80"), std::string("127.0.0.1:80\r\n"),
+        std::string("127.0.0.1:8e1"), std::string("127.0.0.1\0x:80", 14),
+        std::string("host.example:80")}) {
+    CAPTURE(Text);
+    CHECK_FALSE(parseEndpoint(Text).ok());
+  }
+}
