A number or port out of range in an endpoint's row makes the row unreadable

Seen by callers: an entry with "slots":-1 is read as 4,294,967,295 slots and attracts nearly all requests of its service; one with port 65536 or 0 stays among the endpoints and uses up attempts. An entry with a "born" in the distant future counts as the latest incarnation, so that the proper entry that follows is ignored as "stale": the endpoint's draining is missed. coldRemainingS of 1e300 is undefined behaviour in the conversion and in the addition to a time point.

Cause: json's get() converts numbers without a check of their range, and the address was kept as text until something was sent to it.

--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -4,6 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace sesamepaddle;
 using namespace sesamepaddle::adapter;
 
@@ -58,6 +62,79 @@
   }
 }
 
+TEST_CASE("a number or a port out of range in an endpoint's row is not taken "
+          "for another one") {
+  const std::string Huge(400, '9');
+  for (const auto &[What, By] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"slots\":5", "\"slots\":0"},
+           {"\"slots\":5", "\"slots\":-1"},
+           {"\"slots\":5", "\"slots\":4294967301"},
+           {"\"slots\":5", "\"slots\":18446744073709551615"},
+           {"\"slots\":5", "\"slots\":1e300"},
+           {"\"slots\":5", "\"slots\":5.5"},
+           {"\"slots\":5", "\"slots\":true"},
+           {"\"slots\":5", "\"slots\":" + Huge},
+           {"1.5", "1e300"},
+           {"1.5", "-1e300"},
+           {"1.5", "9223372036854775807"},
+           {"1.5", Huge},
+           {"1.5", "null"},
+           {"1.5", "false"},
+           {"1234", "1e300"},
+           {"1234", "1234.5"},
+           {"1234", "-1"},
+           {"1234", "9223372036854775807"},
+           {"1234", "18446744073709551615"},
+           {"1234", Huge},
+           {":8080", ":0"},
+           {":8080", ":65536"},
+           {":8080", ":99999"},
+           {":8080", ":-1"},
+           {":8080", ":+80"},
+           {":8080", ": 80"},
+           {":8080", ":80\\r\\n"},
+           {":8080", ":4294975376"},
+           {":8080", ":"},
+           {":8080", ""},
+           {"10.128.0.9", "10.128.0.999"},
+           {"10.128.0.9", "10.128.0.9\\u0000"},
+           {"10.128.0.9", "host.example"},
+           {"10.128.0.9", "0.0.0.0"},
+           {"10.128.0.9", "::"},
+           {"10.128.0.9", "239.0.0.1"},
+           {"10.128.0.9", ""}}) {
+    CAPTURE(What);
+    CAPTURE(By);
+    const auto Odd =
+        decodeEndpoint("i-1", replaced(Endpoint, What, By), Regions);
+    CHECK(isFailure(Odd.status(), store_failure::MalformedAnswer));
+  }
+  for (const auto &[What, By] :
+       std::vector<std::pair<std::string, std::string>>{
+           {":8080", ":1"},
+           {":8080", ":65535"},
+           {"10.128.0.9", "fd00::9"},
+           {"1.5", "0"},
+           {"1.5", "-0.001"},
+           {"1234", "1796443200000"}}) {
+    CAPTURE(By);
+    CHECK(decodeEndpoint("i-1", replaced(Endpoint, What, By), Regions).ok());
+  }
+}
+
+TEST_CASE("a duration out of range in the operator's rows is refused") {
+  const auto Order = [](const std::string &Seconds) {
+    return decodeRollout(R"({"service":"s1","to":"v2","durationS":)" + Seconds +
+                         "}");
+  };
+  CHECK(Order("90.5").ok());
+  for (const std::string Seconds : {"1e300", "-1e300", "1e12"}) {
+    CAPTURE(Seconds);
+    CHECK(isFailure(Order(Seconds).status(), store_failure::MalformedAnswer));
+  }
+}
+
 TEST_CASE("the operator's configuration is decoded") {
   const auto Content = decodeConfiguration(
       R"({"version":7,"services":[{"name":"s1","coldStartS":3.0,"coldPerS":4.4,
