--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -248,6 +248,11 @@
   CHECK_FALSE(isPlainHeartbeat("", ""));
   CHECK_FALSE(isPlainHeartbeat(Before, ""));
   CHECK_FALSE(isPlainHeartbeat(Before, Row("ready", "\"x\"", "0")));
+  CHECK_FALSE(isPlainHeartbeat(Before, Row("ready", "007", "0")));
+  CHECK_FALSE(
+      isPlainHeartbeat(Before, Row("ready", std::string(400, '9'), "0")));
+  CHECK_FALSE(
+      isPlainHeartbeat(Row("ready", std::string(400, '9'), "0"), Before));
   CHECK_FALSE(isPlainHeartbeat(R"({"sequence":1,"b":{"sequence":2}})",
                                R"({"sequence":2,"b":{"sequence":2}})"));
   CHECK_FALSE(isPlainHeartbeat(R"({"sequence":1})", R"({"sequence":2})"));
