--- a/tests/adapter/odd_row_test.cpp
+++ b/tests/adapter/odd_row_test.cpp
@@ -1,7 +1,12 @@
 #include "adapter/synchronizer_fixture.h"
 #include "platform/row_codec.h"
+#include "platform/table_copy.h"
+#include "sesamepaddle/net/http_server.h"
+
+#include "absl/strings/escaping.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <vector>
@@ -133,3 +138,102 @@
   }
   CHECK(Fixture.endpoint("deep") == nullptr);
 }
+
+TEST_CASE(
+    "a row with an unusual key does not end the reading of a table at its "
+    "page") {
+  const std::string Key = "a &limit=1#%41+\n\xc3\xa9";
+  synchronizer_fixture Fixture;
+  std::size_t Pages = 0;
+  const auto Server = http_server::start(
+      Fixture.Pool, "127.0.0.1:0",
+      [&](const http_exchange &Exchange) -> awaitable<http_reply> {
+        const auto &Target = Exchange.Request.Target;
+        const auto From = queryValue(Target, "from");
+        const bool IsFirst = From.empty();
+        const bool IsSecond = From == Key + std::string(1, '\0') &&
+                              queryValue(Target, "limit") == "500";
+        // Anything else would be another part of the table.
+        if (++Pages > 2 || (!IsFirst && !IsSecond))
+          co_return makeJsonReply(400, "{}");
+        const nlohmann::json Answer = {{"rows",
+                                        {{{"key", IsFirst ? Key : "b"},
+                                          {"value", "aGk="},
+                                          {"schemaVersion", 1}}}},
+                                       {"hasMore", IsFirst},
+                                       {"schemaVersion", 1}};
+        co_return makeJsonReply(200, Answer.dump());
+      });
+  REQUIRE(Server.ok());
+  store_client Client(formatEndpoint((*Server)->localEndpoint()));
+  Fixture.start();
+  std::promise<absl::StatusOr<store_rows>> Read;
+  asio::co_spawn(
+      Fixture.Context,
+      [&]() -> awaitable<void> {
+        Read.set_value(co_await Client.readTable("servers"));
+      },
+      asio::detached);
+  const auto Rows = Read.get_future().get();
+  REQUIRE(Rows.ok());
+  REQUIRE(Rows->Rows.size() == 2);
+  CHECK(Rows->Rows[0].Key == Key);
+  CHECK(Rows->Rows[1].Key == "b");
+}
+
+TEST_CASE("an odd row in the store's answer does not affect the other rows") {
+  for (const std::string Odd :
+       {"5", "[]", "null", "{}", R"({"key":5})", R"({"key":null})",
+        R"({"key":"x","schemaVersion":"two"})",
+        R"({"key":"x","schemaVersion":-1})",
+        R"({"key":"x","schemaVersion":1e300})",
+        R"({"key":"x","schemaVersion":2,"removed":"yes"})",
+        R"({"key":"x","schemaVersion":2,"value":{"a":1}})"}) {
+    CAPTURE(Odd);
+    const auto Rows = parseRows(
+        R"({"rows":[{"key":"a","value":"aGk=","schemaVersion":1},)" + Odd +
+            R"(,{"key":"z","value":"aGk=","schemaVersion":3}],
+               "schemaVersion":3,"currentTimeS":1})",
+        nullptr);
+    REQUIRE(Rows.ok());
+    CHECK(Rows->Rows.front().Key == "a");
+    CHECK(Rows->Rows.back().Key == "z");
+    for (const auto &Row : Rows->Rows)
+      if (Row.Key == "x") {
+        CHECK(Row.Revision <= 2);
+        CHECK(Row.Value == "");
+      }
+  }
+}
+
+TEST_CASE("a negative or fractional revision of an answer is not taken for "
+          "another one") {
+  for (const std::string Revision : {"-1", "1e300", "1.5", "\"1\""}) {
+    CAPTURE(Revision);
+    CHECK(isFailure(
+        parseRows(R"({"rows":[],"schemaVersion":)" + Revision + "}", nullptr)
+            .status(),
+        store_failure::MalformedAnswer));
+  }
+}
+
+// Keys come out of JSON, whose parser refuses texts that are not UTF-8.
+TEST_CASE("no key makes the answer to other VMs fail") {
+  for (const std::string Key :
+       {"\xff", "\xc3(", "\xed\xa0\x80", "\\ud800", "\\udc00x"})
+    CHECK_FALSE(
+        parseRows(R"({"rows":[{"key":")" + Key + R"("}]})", nullptr).ok());
+  const auto Rows = parseRows(
+      R"({"rows":[{"key":"\u0000\n\"\\\ud83d\ude00","value":"/w==",
+          "schemaVersion":1}],"schemaVersion":1})",
+      nullptr);
+  REQUIRE(Rows.ok());
+  table_copy Copy;
+  Copy.apply(*Rows, true);
+  bool IsWhole = false;
+  const auto Passed = parseChanges(Copy.changesSince(0, 1), IsWhole);
+  REQUIRE(Passed.ok());
+  REQUIRE(Passed->Rows.size() == 1);
+  CHECK(Passed->Rows[0].Key == Rows->Rows[0].Key);
+  CHECK(Passed->Rows[0].Value == "\xff");
+}
