An id that would break the head of a request names no endpoint

Seen by callers: requests placed at such an entry carry further header fields or a malformed head; an id with a line break could set the workspace's field.

Cause: the row's key is sent as X-Expected-Instance without a check.

Evidence: before, for an empty id and ids with a line break, a space, a zero byte and a byte above ASCII, row_codec_test.cpp:131: ERROR: CHECK( isFailure(decodeEndpoint(Id, Endpoint, Regions).status(), store_failure::MalformedAnswer) ) is NOT correct!

--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -123,6 +123,16 @@
   }
 }
 
+TEST_CASE("an id that would break the head of a request names no endpoint") {
+  for (const std::string &Id :
+       {std::string(), std::string("i-1\r\nX-Tenant: t2"), std::string("i 1"),
+        std::string("i\0", 2), std::string("i-\xc3\xa9")}) {
+    CAPTURE(Id);
+    CHECK(isFailure(decodeEndpoint(Id, Endpoint, Regions).status(),
+                    store_failure::MalformedAnswer));
+  }
+}
+
 TEST_CASE("a duration out of range in the operator's rows is refused") {
   const auto Order = [](const std::string &Seconds) {
     return decodeRollout(R"({"service":"s1","to":"v2","durationS":)" + Seconds +
