Test: a reply that stops within its head is a failure of net/http_client

Could not happen: http::async_read_header gives partial_message, and attempt:: exchange makes every error a failure; the whole head without its body likewise.

--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -42,6 +42,9 @@
   /** How much longer than the body its announced length is; when not 0, the
       connection closes after the reply. */
   std::size_t Missing = 0;
+  /** Written instead of the reply, if not empty, before the connection closes.
+   */
+  std::string CutReply;
   std::atomic<int> Requests{0};
   std::atomic<int> Connections{0};
 
@@ -67,13 +70,16 @@
       if (Number <= IgnoredUpTo)
         continue;
       const std::string Body = std::to_string(Number);
-      const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                 std::to_string(Body.size() + Missing) +
-                                 "\r\n\r\n" + Body + Extra;
+      const bool Closes = Missing > 0 || !CutReply.empty();
+      const std::string Answer =
+          !CutReply.empty() ? CutReply
+                            : "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                  std::to_string(Body.size() + Missing) +
+                                  "\r\n\r\n" + Body + Extra;
       co_await asio::async_write(
           Socket, asio::buffer(Answer),
           asio::redirect_error(asio::use_awaitable, Error));
-      if (Missing > 0)
+      if (Closes)
         co_return;
     }
   }
@@ -162,6 +168,15 @@
     const auto Reply = Caller.call(Server, connection_choice::Fresh);
     CHECK(isFailure(Reply.status(), net_failure::ReceiveFailed));
   }
+  SUBCASE("a reply that stops within its head is a failure") {
+    const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    for (std::size_t Cut = 1; Cut <= Head.size(); ++Cut) {
+      CAPTURE(Cut);
+      Server.CutReply = Head.substr(0, Cut);
+      const auto Reply = Caller.call(Server, connection_choice::Fresh);
+      CHECK(isFailure(Reply.status(), net_failure::ReceiveFailed));
+    }
+  }
   SUBCASE("bytes after a reply are not taken for the next reply") {
     Server.Extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
     for (const char *Body : {"1", "2", "3"}) {
