--- a/tests/adapter/odd_row_test.cpp
+++ b/tests/adapter/odd_row_test.cpp
@@ -231,7 +231,8 @@
   table_copy Copy;
   Copy.apply(*Rows, true);
   bool IsWhole = false;
-  const auto Passed = parseChanges(Copy.changesSince(0, 1), IsWhole);
+  const auto Passed =
+      readChanges(nlohmann::json::parse(Copy.changesSince(0, 1)), IsWhole);
   REQUIRE(Passed.ok());
   REQUIRE(Passed->Rows.size() == 1);
   CHECK(Passed->Rows[0].Key == Rows->Rows[0].Key);
