--- a/tests/adapter/table_copy_test.cpp
+++ b/tests/adapter/table_copy_test.cpp
@@ -61,3 +61,65 @@
   CHECK(RevisionsSince(0) == std::vector<std::uint64_t>{2});
   CHECK(RevisionsSince(1) == std::vector<std::uint64_t>{2});
 }
+
+TEST_CASE(
+    "a removal reaches other VMs also through one that never saw the row") {
+  table_copy Reader;
+  const auto Apply = [](table_copy &Copy, store_rows Rows, bool IsWhole) {
+    Copy.apply(std::move(Rows), IsWhole);
+  };
+  const auto Known = [](const table_copy &Copy) {
+    bool IsWhole = false;
+    return readChanges(nlohmann::json::parse(Copy.changesSince(0, 0)), IsWhole)
+        ->Rows.size();
+  };
+  table_copy Follower;
+  store_rows First;
+  First.Revision = 10;
+  First.Rows = {{"a", "r", 9}};
+  Apply(Follower, First, true);
+  store_rows Gone;
+  Gone.Revision = 12;
+  Gone.Rows = {{"a", std::nullopt, 12}};
+
+  SUBCASE("when it reads of the removal alone") {
+    store_rows Empty;
+    Empty.Revision = 5;
+    Apply(Reader, Empty, true);
+    Apply(Reader, Gone, false);
+    bool IsWhole = false;
+    Apply(Follower,
+          *readChanges(nlohmann::json::parse(Reader.changesSince(10, 0)),
+                       IsWhole),
+          IsWhole);
+    CHECK(Known(Follower) == 0);
+  }
+
+  SUBCASE("and an older answer that comes later does not undo it") {
+    table_copy Late;
+    Apply(Late, Gone, false);
+    Apply(Late, First, false);
+    CHECK(Known(Late) == 0);
+  }
+}
+
+TEST_CASE("a removal before a VM's first read reaches the VMs that follow it") {
+  table_copy Follower;
+  store_rows First;
+  First.Revision = 10;
+  First.Rows = {{"a", "r", 9}, {"b", "r", 8}};
+  Follower.apply(First, true);
+  // It starts after the removal of "a" at revision 12.
+  table_copy Reader;
+  store_rows Later;
+  Later.Revision = 20;
+  Later.Rows = {{"b", "r", 8}};
+  Reader.apply(Later, true);
+  bool IsWhole = false;
+  const auto Changes =
+      readChanges(nlohmann::json::parse(Reader.changesSince(10, 0)), IsWhole);
+  Follower.apply(*Changes, IsWhole);
+  const auto Left =
+      readChanges(nlohmann::json::parse(Follower.changesSince(0, 0)), IsWhole);
+  CHECK(Left->Rows.size() == 1);
+}
