One lost answer does not stop a VM's own reads of the store

Change: a VM counts as turned away after two failed reads in a row. Test: 'one lost answer does not stop the reads of a VM'; the test of a VM that is turned away now has two failures and the same bound.

--- a/include/sesamepaddle/ingress/refresh_schedule.h
+++ b/include/sesamepaddle/ingress/refresh_schedule.h
@@ -22,7 +22,8 @@
     bool IsReader = false; ///< no other VM reads the store for this one
     /** Age of this VM's rows: changes since then may be missing. */
     std::chrono::milliseconds RowAge = std::chrono::milliseconds::max();
-    /** Time between two reads while the store does not answer this VM. */
+    /** Time between two reads once the store has failed this VM twice in a
+        row. */
     std::chrono::milliseconds RetryInterval{0};
   };
 
@@ -34,7 +35,7 @@
 
 private:
   std::optional<time_point> LastRead;
-  bool IsAnswered = true; ///< the last read
+  unsigned FailedReads = 0; ///< in a row
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/refresh_schedule.cpp
+++ b/src/ingress/refresh_schedule.cpp
@@ -12,6 +12,8 @@
 // Between two reads by a VM that is no reader. Rows that are old although they
 // have just been read are not read again at once.
 constexpr milliseconds MinReadInterval{500};
+// Between a first failed read and the next one.
+constexpr milliseconds MinRetryInterval{250};
 
 } // namespace
 
@@ -19,16 +21,18 @@
                                  time_point Now) const {
   if (!LastRead)
     return true;
-  if (!IsAnswered && Now - *LastRead < Conditions.RetryInterval)
+  // A single answer may get lost although the store serves this VM.
+  const bool IsTurnedAway = FailedReads >= 2;
+  if (IsTurnedAway && Now - *LastRead < Conditions.RetryInterval)
     return false;
   if (Conditions.IsReader)
-    return true;
+    return FailedReads == 0 || Now - *LastRead >= MinRetryInterval;
   return Conditions.RowAge > MaxRowAge && Now - *LastRead >= MinReadInterval;
 }
 
-void refresh_schedule::recordRead(bool WasAnswered, time_point Now) {
+void refresh_schedule::recordRead(bool IsAnswered, time_point Now) {
   LastRead = Now;
-  IsAnswered = WasAnswered;
+  FailedReads = IsAnswered ? 0 : FailedReads + 1;
 }
 
 } // namespace sesamepaddle
--- a/tests/ingress/refresh_schedule_test.cpp
+++ b/tests/ingress/refresh_schedule_test.cpp
@@ -25,7 +25,13 @@
     }
   }
 
+  SUBCASE("one lost answer does not stop the reads of a VM") {
+    Schedule.recordRead(false, Start);
+    CHECK(IsDue(milliseconds(2'000), milliseconds(600)));
+  }
+
   SUBCASE("a VM that the store turns away does not flood it") {
+    Schedule.recordRead(false, Start - seconds(1));
     Schedule.recordRead(false, Start);
     CHECK(!IsDue(milliseconds(4'000), seconds(4)));
     CHECK(IsDue(milliseconds(5'000), seconds(5)));
@@ -36,5 +42,8 @@
     CHECK(Schedule.isReadDue({true, milliseconds(0), RetryInterval}, Start));
     Schedule.recordRead(false, Start);
     CHECK(!Schedule.isReadDue({true, milliseconds(0), RetryInterval}, Start));
+    Schedule.recordRead(false, Start);
+    CHECK(!Schedule.isReadDue({true, milliseconds(0), RetryInterval},
+                              Start + seconds(4)));
   }
 }
