VMs compare their processor time as they tell it to each other

Change: both are rounded. Test: the VMs of 'VMs with little processor time...' have 0.504 cores and tell 0.5.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -185,15 +185,15 @@
   /** Place of a VM among those that read the store for others: the VMs with the
       most processor time come first. */
   struct reader_rank {
-    double Cores;
+    long CoreHundredths; ///< as precise as VMs tell each other
     std::uint64_t NameHash;
     bool operator<(const reader_rank &Other) const {
-      return Cores != Other.Cores ? Cores > Other.Cores
-                                  : NameHash < Other.NameHash;
+      return CoreHundredths != Other.CoreHundredths
+                 ? CoreHundredths > Other.CoreHundredths
+                 : NameHash < Other.NameHash;
     }
   };
-  reader_rank ownReaderRank() const;
-  static reader_rank readerRankOf(const known_vm &Vm);
+  static reader_rank readerRank(const vm_name &Name, double Cores);
 
   /** @returns true when @p Vm and this VM may read the store for each other:
       always in a small fleet, else only within a region. */
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "sesamepaddle/steering/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace sesamepaddle {
@@ -137,14 +138,15 @@
   };
   std::vector<candidate> Candidates;
   if (!IsStoreLost)
-    Candidates.push_back({ownReaderRank(), nullptr});
+    Candidates.push_back(
+        {readerRank(Options.Vm.Name, Options.Vm.Cores), nullptr});
   for (const auto &[Name, Vm] : Vms) {
     const auto Avoided = AvoidedReaders.find(Name);
     const bool IsAvoided =
         Avoided != AvoidedReaders.end() && Now < Avoided->second;
     if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided && isReaderFor(Vm) &&
         Now - Vm.LastHeard < silenceTimeout(Vm, MinReaderSilence))
-      Candidates.push_back({readerRankOf(Vm), &Vm});
+      Candidates.push_back({readerRank(Name, Vm.Cores), &Vm});
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const candidate &Left, const candidate &Right) {
@@ -169,12 +171,9 @@
   return Chosen;
 }
 
-fleet_state::reader_rank fleet_state::ownReaderRank() const {
-  return {Options.Vm.Cores, stableHash(Options.Vm.Name.view())};
-}
-
-fleet_state::reader_rank fleet_state::readerRankOf(const known_vm &Vm) {
-  return {Vm.Cores, stableHash(Vm.Name.view())};
+fleet_state::reader_rank fleet_state::readerRank(const vm_name &Name,
+                                                 double Cores) {
+  return {std::lround(Cores * 100), stableHash(Name.view())};
 }
 
 std::size_t fleet_state::readersWanted() const {
@@ -188,13 +187,13 @@
 }
 
 bool fleet_state::isStoreProber(time_point Now) const {
-  const auto Own = ownReaderRank();
+  const auto Own = readerRank(Options.Vm.Name, Options.Vm.Cores);
   const auto Before =
       std::count_if(Vms.begin(), Vms.end(), [&](const auto &Entry) {
         return isReaderFor(Entry.second) &&
                Now - Entry.second.LastHeard <
                    silenceTimeout(Entry.second, MinReaderSilence) &&
-               readerRankOf(Entry.second) < Own;
+               readerRank(Entry.first, Entry.second.Cores) < Own;
       });
   return static_cast<std::size_t>(Before) < readersWanted();
 }
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -94,7 +94,9 @@
 // decide by outdated rows.
 TEST_CASE("VMs with little processor time do not read the store for others") {
   std::vector<fleet_state> States;
-  const auto CoresOf = [](int Vm) { return Vm % 10 == 7 ? 0.5 : 0.1; };
+  // VMs tell each other hundredths of a core.
+  const auto CoresOf = [](int Vm) { return Vm % 10 == 7 ? 0.504 : 0.1; };
+  const auto ToldCoresOf = [](int Vm) { return Vm % 10 == 7 ? 0.5 : 0.1; };
   const auto NameOf = [](int Vm) {
     return vm_name("vm-" + std::to_string(Vm));
   };
@@ -110,7 +112,7 @@
       known_vm Known;
       Known.Name = NameOf(Vm);
       Known.Region = region_name("lima");
-      Known.Cores = CoresOf(Vm);
+      Known.Cores = ToldCoresOf(Vm);
       Known.IsReady = true;
       Known.LastHeard = Start;
       State.applyVm(Known);
@@ -123,7 +125,7 @@
       CHECK(Reader->Cores == 0.5);
       continue;
     }
-    CHECK(CoresOf(Vm) == 0.5);
+    CHECK(ToldCoresOf(Vm) == 0.5);
     CHECK(State.isStoreProber(Start));
     ++Readers;
   }
