--- a/tests/adapter/store_clock_test.cpp
+++ b/tests/adapter/store_clock_test.cpp
@@ -27,6 +27,18 @@
     }
   }
 
+  SUBCASE("a VM whose estimate is behind does not make rows look younger") {
+    Clock.observeEstimate(51, Start + seconds(3));
+    CHECK(*Clock.at(Start + seconds(3)) == doctest::Approx(52));
+    Clock.observeEstimate(52.5, Start + seconds(3));
+    CHECK(*Clock.at(Start + seconds(3)) == doctest::Approx(52.5));
+  }
+
+  SUBCASE("an answer without a time is left out") {
+    Clock.observe(0, Start + seconds(3), Start + seconds(3));
+    CHECK(*Clock.at(Start + seconds(3)) == doctest::Approx(52));
+  }
+
   SUBCASE("a clock that has started again is followed") {
     Clock.observe(2, Start + seconds(3), Start + seconds(3) + milliseconds(20));
     const double Estimate = *Clock.at(Start + seconds(4));
