--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -65,8 +65,7 @@
 TEST_CASE("a number or a port out of range in an endpoint's row is not taken "
           "for another one") {
   const std::string Huge(400, '9');
-  for (const auto &[What, By] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (const auto &Change : std::vector<std::pair<std::string, std::string>>{
            {"\"slots\":5", "\"slots\":0"},
            {"\"slots\":5", "\"slots\":-1"},
            {"\"slots\":5", "\"slots\":4294967301"},
@@ -104,22 +103,23 @@
            {"10.128.0.9", "::"},
            {"10.128.0.9", "239.0.0.1"},
            {"10.128.0.9", ""}}) {
-    CAPTURE(What);
-    CAPTURE(By);
-    const auto Odd =
-        decodeEndpoint("i-1", replaced(Endpoint, What, By), Regions);
+    CAPTURE(Change.first);
+    CAPTURE(Change.second);
+    const auto Odd = decodeEndpoint(
+        "i-1", replaced(Endpoint, Change.first, Change.second), Regions);
     CHECK(isFailure(Odd.status(), store_failure::MalformedAnswer));
   }
-  for (const auto &[What, By] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (const auto &Change : std::vector<std::pair<std::string, std::string>>{
            {":8080", ":1"},
            {":8080", ":65535"},
            {"10.128.0.9", "fd00::9"},
            {"1.5", "0"},
            {"1.5", "-0.001"},
            {"1234", "1796443200000"}}) {
-    CAPTURE(By);
-    CHECK(decodeEndpoint("i-1", replaced(Endpoint, What, By), Regions).ok());
+    CAPTURE(Change.second);
+    CHECK(decodeEndpoint("i-1", replaced(Endpoint, Change.first, Change.second),
+                         Regions)
+              .ok());
   }
 }
 
