An endpoint that says that it leaves gets nothing new

Cause: nothing read the field; IsLeavingReported was never set.

The field is read in every answer that a request gets (success, failure, refusal; not a 421, which another endpoint gives). The registry keeps the word by id, start and address beside the records, so that a later record that says ready, or one that lapsed and came back, does not undo it, nor does an answer that comes after its endpoint's record was replaced. 1,024 are kept. Idle connections are closed with each further answer.

--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -25,8 +25,9 @@
   std::string Workspace;        ///< name of the workspace, set by the VM
   std::string ExpectedEndpoint; ///< identifier of the endpoint, set by the VM
   std::string EndpointProof;    ///< present in every answer of an endpoint
-  std::string NotRun; ///< set by an endpoint that did not run the request
-  std::string Load;   ///< "running,waiting,slots" of the endpoint
+  std::string NotRun;  ///< set by an endpoint that did not run the request
+  std::string Load;    ///< "running,waiting,slots" of the endpoint
+  std::string Leaving; ///< "1": the endpoint takes no new requests
 };
 
 /** Who this VM is and where it listens. */
--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -63,8 +63,8 @@
       It is faster on these. Bounded; the least recently used one is dropped. */
   std::unordered_map<std::uint64_t, time_point> KnownObjects;
   bool IsReplaced = false; ///< another instance has answered at its address
-  /** The endpoint itself reported that it is leaving, before its record did.
-      Never set at present. */
+  /** The endpoint itself reported that it is leaving, whatever its record says.
+      @see endpoint_registry::noteLeaving */
   bool IsLeavingReported = false;
   std::optional<time_point> RemovedAt; ///< never set at present
 
@@ -113,6 +113,11 @@
       record belongs to an earlier incarnation and was ignored */
   std::string apply(const endpoint_record &Record, time_point Now);
 
+  /** Records that the endpoint that registered @p Record has reported that it
+      is leaving. Later records of the same incarnation do not undo it, not even
+      after the endpoint has been removed. */
+  void noteLeaving(const endpoint_record &Record);
+
   /** Removes an endpoint. Requests that were sent to it continue.
       @param UsableUntil  when set, an endpoint that is not leaving is removed
                           only then, by expire(): its record may have expired
@@ -149,7 +154,25 @@
 
   std::size_t size() const { return Endpoints.size(); }
 
+  /** @returns the number of incarnations whose announcements are kept. */
+  std::size_t announcements() const { return Announced.size(); }
+
 private:
+  /** What one incarnation of an endpoint has said about itself in answers. */
+  struct announcement {
+    std::int64_t StartedAt = 0;
+    std::string Address;
+    bool IsLeaving = false;
+    std::uint64_t Order = 0; ///< larger for a later one
+  };
+
+  /** @returns the place for what the endpoint of @p Record says, or null when a
+      later incarnation has spoken or registered. */
+  announcement *announcementOf(const endpoint_record &Record);
+
+  /** Sets what @p Endpoint has said before its record came back. */
+  void recall(fleet_endpoint &Endpoint) const;
+
   /** Recomputes the list of @p Service in ByService. */
   void rebuild(const service_name &Service);
 
@@ -159,6 +182,8 @@
   /** Endpoints whose record is gone but that stay usable until the given
       time. */
   std::map<endpoint_id, time_point> RemovalTimes;
+  std::map<endpoint_id, announcement> Announced;
+  std::uint64_t AnnouncementsMade = 0;
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -81,6 +81,11 @@
   return answer_meaning::Final;
 }
 
+/** @returns the name of one run of an endpoint's process in upstream_pool. */
+std::string endpointRun(const fleet_endpoint &Endpoint) {
+  return absl::StrCat(Endpoint.Record.Id.str(), "/", Endpoint.Record.StartedAt);
+}
+
 bool isFaultStatus(unsigned Status) { return Status >= 500; }
 
 /** @returns the outcome of an attempt, for the log. */
@@ -286,8 +291,7 @@
   Limits.Connect = ConnectTimeout;
   Limits.Deadline = State.Deadline + LateAnswerTime;
   Limits.BodyBytes = State.Configuration->limits().BodyBytes;
-  const std::string EndpointRun =
-      absl::StrCat(Record.Id.str(), "/", Record.StartedAt);
+  const std::string EndpointRun = endpointRun(*Endpoint);
   ++Endpoint->InFlight;
   const auto Objective = std::chrono::duration_cast<milliseconds>(
       State.Route->LatencyObjective * LateFactor);
@@ -322,8 +326,9 @@
   co_await Timer.async_wait(asio::use_awaitable);
   const auto &Record = Endpoint->Record;
   const bool IsThere = co_await Upstreams.connect(
-      absl::StrCat(Record.Id.str(), "/", Record.StartedAt), Record.Address,
-      ConnectTimeout);
+      endpointRun(*Endpoint), Record.Address, ConnectTimeout);
+  if (IsThere && Endpoint->IsLeavingReported)
+    Upstreams.discard(endpointRun(*Endpoint));
   if (IsThere)
     co_return;
   const auto Now = boot_clock::now();
@@ -356,10 +361,36 @@
   }
 }
 
+// Announcements of another endpoint at the address do not count.
+void request_path::noteAnnouncements(const request_state &State,
+                                     fleet_endpoint &Endpoint,
+                                     const http_reply &Reply, time_point Now) {
+  const auto &Record = Endpoint.Record;
+  const auto &Fields = Fleet.options().Fields;
+  const bool IsLeaving = findHeader(Reply.Headers, Fields.Leaving) == "1";
+  if (IsLeaving && !std::exchange(Endpoint.IsLeavingReported, true)) {
+    Fleet.endpoints().noteLeaving(Record);
+    Log.write(
+        [&] {
+          return absl::StrCat(
+              "endpoint id=", Record.Id.str(),
+              " in_use=0 cause=leaving request=", State.RequestId,
+              " service=", Record.Service.str());
+        },
+        Now);
+  }
+}
+
 void request_path::recordOutcome(request_state &State, fleet_endpoint &Endpoint,
                                  const exchange_result &Result) {
   const auto Now = boot_clock::now();
   const auto &Fields = Fleet.options().Fields;
+  if (Result.End == exchange_end::Answered &&
+      classify(Result.Reply, Fields) != answer_meaning::Replaced)
+    noteAnnouncements(State, Endpoint, Result.Reply, Now);
+  // Also after later answers, whose connections have become idle since.
+  if (Endpoint.IsLeavingReported)
+    Upstreams.discard(endpointRun(Endpoint));
   switch (Result.End) {
   case exchange_end::NotConnected:
     Endpoint.addFailure(Now);
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -102,6 +102,9 @@
   /** Reports a crash if @p Endpoint accepts no connection after it lost one. */
   awaitable<void> verifyCrash(endpoint_pointer Endpoint,
                               std::string Fingerprint);
+  /** Takes the endpoint out of use when @p Reply says so. */
+  void noteAnnouncements(const request_state &State, fleet_endpoint &Endpoint,
+                         const http_reply &Reply, time_point Now);
   /** Updates health, load, known objects and rollout from one attempt. */
   void recordOutcome(request_state &State, fleet_endpoint &Endpoint,
                      const exchange_result &Result);
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -25,6 +25,14 @@
 // read every second.
 constexpr std::chrono::milliseconds ColdReportDelay{2'600};
 
+// Endpoints whose announcements are kept for when their records lapse and come
+// back: more than leave in the time that an outage of the store may last.
+constexpr std::size_t MaxAnnouncements = 1'024;
+
+bool isSameProcess(const endpoint_record &Left, const endpoint_record &Right) {
+  return Left.StartedAt == Right.StartedAt && Left.Address == Right.Address;
+}
+
 } // namespace
 
 void fleet_endpoint::addFailure(time_point Now) {
@@ -83,6 +91,7 @@
     Endpoint->Hash = stableHash(Record.Id.view());
     ByHash[Endpoint->Hash] = Endpoint;
     Endpoint->Record = Record;
+    recall(*Endpoint);
     Change = "joined";
     if (!Former.empty() && Former != Record.Service)
       rebuild(Former);
@@ -95,6 +104,47 @@
   return Change;
 }
 
+endpoint_registry::announcement *
+endpoint_registry::announcementOf(const endpoint_record &Record) {
+  const auto Known = Endpoints.find(Record.Id);
+  if (Known != Endpoints.end() &&
+      Known->second->Record.StartedAt > Record.StartedAt)
+    return nullptr;
+  auto &Entry = Announced[Record.Id];
+  if (Entry.StartedAt > Record.StartedAt)
+    return nullptr;
+  if (Entry.StartedAt != Record.StartedAt || Entry.Address != Record.Address)
+    Entry = {Record.StartedAt, Record.Address};
+  Entry.Order = ++AnnouncementsMade;
+  if (Announced.size() > MaxAnnouncements)
+    Announced.erase(std::min_element(Announced.begin(), Announced.end(),
+                                     [](const auto &Left, const auto &Right) {
+                                       return Left.second.Order <
+                                              Right.second.Order;
+                                     }));
+  return &Entry;
+}
+
+void endpoint_registry::recall(fleet_endpoint &Endpoint) const {
+  const auto Found = Announced.find(Endpoint.Record.Id);
+  if (Found == Announced.end() ||
+      Found->second.StartedAt != Endpoint.Record.StartedAt ||
+      Found->second.Address != Endpoint.Record.Address)
+    return;
+  Endpoint.IsLeavingReported = Found->second.IsLeaving;
+}
+
+void endpoint_registry::noteLeaving(const endpoint_record &Record) {
+  auto *Announcement = announcementOf(Record);
+  if (Announcement == nullptr)
+    return;
+  Announcement->IsLeaving = true;
+  // The record may have lapsed and come back since the request was sent.
+  const auto Known = find(Record.Id);
+  if (Known && isSameProcess(Known->Record, Record))
+    recall(*Known);
+}
+
 bool endpoint_registry::remove(const endpoint_id &Id,
                                std::optional<time_point> UsableUntil) {
   const auto Found = Endpoints.find(Id);
--- a/tests/adapter/row_codec_test.cpp
+++ b/tests/adapter/row_codec_test.cpp
@@ -175,3 +175,7 @@
                                R"({"sequence":2,"b":{"sequence":2}})"));
   CHECK_FALSE(isPlainHeartbeat(R"({"sequence":1})", R"({"sequence":2})"));
 }
+
+TEST_CASE("the field in which an endpoint says that it leaves") {
+  CHECK(wireFieldNames().Leaving == "Server-Leaving");
+}
--- a/tests/ingress/ingress_fixture.cpp
+++ b/tests/ingress/ingress_fixture.cpp
@@ -15,8 +15,8 @@
   Vm.FailureDomain = failure_domain_name("lima-a");
   Vm.CallerAddress = "127.0.0.1:0";
   Vm.GossipAddress = "127.0.0.1:0";
-  Options.Fields = {"Id",       "Object", "Deadline", "Key", "Workspace",
-                    "Expected", "Proof",  "Not-Run",  "Load"};
+  Options.Fields = {"Id",       "Object", "Deadline", "Key",  "Workspace",
+                    "Expected", "Proof",  "Not-Run",  "Load", "Leaving"};
   Options.Paths = {"/ready", "/directory", "/metrics"};
   Options.Bounds.GracePeriod = std::chrono::milliseconds(6'000);
   return Options;
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -56,8 +56,10 @@
     const std::size_t HeadBytes = co_await asio::async_read_until(
         *Socket, asio::dynamic_buffer(Buffer), "\r\n\r\n",
         asio::redirect_error(asio::use_awaitable, Error));
-    if (Error)
+    if (Error) {
+      ++EndedIdle;
       co_return;
+    }
     const auto Length = static_cast<std::size_t>(std::atoi(
         fieldOf(Buffer.substr(0, HeadBytes), "Content-Length").c_str()));
     while (Buffer.size() < HeadBytes + Length) {
--- a/tests/ingress/scripted_endpoint.h
+++ b/tests/ingress/scripted_endpoint.h
@@ -39,6 +39,10 @@
 
   std::size_t connections() const { return Connections.load(); }
 
+  /** @returns the number of connections that ended while no request was being
+      served. */
+  std::size_t endedIdle() const { return EndedIdle.load(); }
+
   /** @returns the number of connections that the VM closed while a request was
       being served. */
   std::size_t abandoned() const { return Abandoned.load(); }
@@ -55,6 +59,7 @@
   std::atomic<std::size_t> Connections{0};
   std::atomic<bool> CrashesNext{false};
   std::atomic<std::size_t> Abandoned{0};
+  std::atomic<std::size_t> EndedIdle{0};
 };
 
 /** @returns the value of the field @p Name in @p Request, or an empty string.
--- a/tests/load_balancing/placement_test.cpp
+++ b/tests/load_balancing/placement_test.cpp
@@ -259,6 +259,54 @@
   }
 }
 
+TEST_CASE("an endpoint that said that it leaves is not used") {
+  fleet Fleet;
+  const auto Before = Fleet.placeAll();
+  const auto Record = makeRecord(1, "lima");
+  Fleet.Registry.noteLeaving(Record);
+  const auto IsUsed = [&] {
+    bool IsFound = false;
+    for (const auto &[Object, Id] : Fleet.placeAll()) {
+      IsFound = IsFound || Id == "i-1";
+      if (Before.at(Object) != "i-1")
+        CHECK(Id == Before.at(Object));
+    }
+    return IsFound;
+  };
+  CHECK_FALSE(IsUsed());
+
+  SUBCASE("whatever later rows of the same incarnation say") {
+    Fleet.Registry.apply(Record, Start);
+    CHECK_FALSE(IsUsed());
+    Fleet.Registry.remove(Record.Id, std::nullopt);
+    Fleet.Registry.apply(Record, Start);
+    CHECK_FALSE(IsUsed());
+  }
+  SUBCASE("until a new incarnation registers") {
+    auto Next = Record;
+    Next.StartedAt = 2;
+    Fleet.Registry.apply(Next, Start);
+    CHECK(IsUsed());
+    // A late word of the earlier one.
+    Fleet.Registry.noteLeaving(Record);
+    CHECK(IsUsed());
+  }
+  SUBCASE(
+      "until another endpoint registers under its id after its row lapsed") {
+    Fleet.Registry.remove(Record.Id, std::nullopt);
+    auto Other = Record;
+    Other.Address = "10.0.9.9:80";
+    Fleet.Registry.apply(Other, Start);
+    CHECK(IsUsed());
+  }
+  SUBCASE("and memory of lapsed rows is bounded") {
+    for (int Number = 10; Number < 3'000; ++Number)
+      Fleet.Registry.noteLeaving(makeRecord(Number, "lima"));
+    CHECK(Fleet.Registry.announcements() <= 1'024);
+    CHECK_FALSE(IsUsed());
+  }
+}
+
 TEST_CASE("all VMs together stay within the limit of a cold endpoint") {
   // Required limit for any second: 1.5 times the tolerated rate plus 5.
   constexpr double Tolerated = 4.4;
