An endpoint that asks for quiet gets nothing until its time has passed

Cause: no code read an endpoint's Retry-After.

The time (whole or fractional seconds; at most 30 s, anything else ignored) is kept like the word of leaving and looked at in each placing by the boot clock. Where all endpoints that a request may use are quiet, placing says so and when the first wants requests; the request is refused at once, not run, with that time and the usual spread. What the 503 means for the request is unchanged. `sesamepaddle explain` has a sentence for it.

The tests failed before, with the fields declared and no logic: - endpoint_announcements_test.cpp:202 CHECK( 17 == 1 ) requests at the quiet endpoint; :210 CHECK( 30 == 1 ) after its row came back; :225 0ns > 0ns - :237 "endpoints-quiet" CHECK( false ); :240 CHECK( 0.238808 > 10 ); :242 CHECK( 5 == 1 ) - :291 CHECK( 0ns >= 5000000000ns ) for each of the four valid values - :310 CHECK( 0ns > 5000ms ) - placement_test.cpp:318, :323, :347, :355, :363, :374 - request_explanation_test.cpp:68 'a 503 that asks for quiet without saying that it did not run' and the values that are ignored hold on the old code as well and guard against too much.

--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -66,12 +66,16 @@
   /** The endpoint itself reported that it is leaving, whatever its record says.
       @see endpoint_registry::noteLeaving */
   bool IsLeavingReported = false;
+  /** The endpoint itself asked for no requests until then.
+      @see endpoint_registry::noteQuiet */
+  time_point QuietUntil{};
   std::optional<time_point> RemovedAt; ///< never set at present
 
   bool isCold(time_point Now) const {
     return Now < ColdUntil || Now < PossiblyColdUntil;
   }
   bool isAvoided(time_point Now) const { return Now < AvoidUntil; }
+  bool isQuiet(time_point Now) const { return Now < QuietUntil; }
 
   /** Counts a connection attempt that was refused or timed out, whether it was
       made for a request or as a check after a lost connection. The endpoint is
@@ -118,6 +122,11 @@
       after the endpoint has been removed. */
   void noteLeaving(const endpoint_record &Record);
 
+  /** Records that the endpoint that registered @p Record has asked for no
+      requests until @p Until. A shorter time does not end a longer one. Kept as
+      with noteLeaving(). */
+  void noteQuiet(const endpoint_record &Record, time_point Until);
+
   /** Removes an endpoint. Requests that were sent to it continue.
       @param UsableUntil  when set, an endpoint that is not leaving is removed
                           only then, by expire(): its record may have expired
@@ -163,6 +172,7 @@
     std::int64_t StartedAt = 0;
     std::string Address;
     bool IsLeaving = false;
+    time_point QuietUntil{};
     std::uint64_t Order = 0; ///< larger for a later one
   };
 
--- a/include/sesamepaddle/load_balancing/placement.h
+++ b/include/sesamepaddle/load_balancing/placement.h
@@ -67,6 +67,7 @@
 enum class placement_result : std::uint8_t {
   Placed,
   NoEndpoint, ///< no endpoint may be used
+  AllQuiet,   ///< all endpoints that may be used have asked for no requests
   AllFull, ///< all usable ones are cold, and this VM may not send to them now
 };
 
@@ -74,6 +75,8 @@
 struct placed_endpoint {
   placement_result Result = placement_result::NoEndpoint;
   endpoint_pointer Endpoint; ///< null unless Placed
+  /** When the first of the endpoints wants requests again, if AllQuiet. */
+  time_point QuietUntil{};
 };
 
 /** Chooses the endpoint for a request.
--- a/src/command_line/request_explanation.cpp
+++ b/src/command_line/request_explanation.cpp
@@ -102,7 +102,9 @@
       {"+no-time", "no time was left for another one"},
       {"+no-attempts", "the route allows no more endpoints for one request"},
       {"+no-budget", "this VM's part of the budget of retries was spent"},
-      {"+no-endpoint", "no other endpoint could be used"}};
+      {"+no-endpoint", "no other endpoint could be used"},
+      {"+endpoints-quiet",
+       "all endpoints that it could use had asked for no requests"}};
   for (const auto &[Sign, Text] : Words)
     if (absl::StrContains(toAbsl(Reason), Sign))
       return absl::StrCat(", and ", Text);
@@ -176,6 +178,9 @@
   if (absl::StartsWith(Reason, "+no-endpoint"))
     return absl::StrCat("no endpoint of ", Line.field("service"),
                         " could be used");
+  if (absl::StartsWith(Reason, "+endpoints-quiet"))
+    return absl::StrCat("all endpoints of ", Line.field("service"),
+                        " that it could use had asked for no requests");
   return absl::StrCat("the log line gives no reason, status ", Status);
 }
 
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -44,6 +44,15 @@
 // Retry-After, before that random time, while this VM has no configuration.
 constexpr double NoConfigurationRetrySeconds = 0.4;
 
+// Bound on the time for which one answer may silence an endpoint: longer than
+// an endpoint needs to work off its queue or to start anew, and short enough
+// that a faulty value does not take it away for long.
+constexpr double MaxQuietSeconds = 30;
+
+double toSeconds(duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
 double toMilliseconds(duration Span) {
   return std::chrono::duration<double, std::milli>(Span).count();
 }
@@ -61,6 +70,18 @@
   return Load;
 }
 
+/** @returns the time in a Retry-After field, whole or fractional seconds,
+   within MaxQuietSeconds; zero when it has none, a date, or no positive number.
+ */
+duration parseQuietTime(std::string_view Text) {
+  double Seconds = 0;
+  if (Text.find_first_not_of("0123456789.") != std::string_view::npos ||
+      !absl::SimpleAtod(toAbsl(Text), &Seconds) || !(Seconds > 0))
+    return duration(0);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(std::min(Seconds, MaxQuietSeconds)));
+}
+
 /** What an answer says about the request. */
 enum class answer_meaning : std::uint8_t {
   Final,    ///< the endpoint's answer, to be forwarded
@@ -379,6 +400,38 @@
         },
         Now);
   }
+  if (Reply.Status != 503)
+    return;
+  const auto Quiet = parseQuietTime(findHeader(Reply.Headers, "Retry-After"));
+  if (Quiet <= duration(0))
+    return;
+  const bool WasQuiet = Endpoint.isQuiet(Now);
+  Endpoint.QuietUntil = std::max(Endpoint.QuietUntil, Now + Quiet);
+  Fleet.endpoints().noteQuiet(Record, Endpoint.QuietUntil);
+  if (WasQuiet)
+    return;
+  Log.write(
+      [&] {
+        return absl::StrCat("endpoint id=", Record.Id.str(),
+                            " in_use=0 cause=quiet seconds=", toSeconds(Quiet),
+                            " request=", State.RequestId,
+                            " service=", Record.Service.str());
+      },
+      Now);
+}
+
+void request_path::noteUse(fleet_endpoint &Endpoint, time_point Now) {
+  const auto QuietUntil = std::exchange(Endpoint.QuietUntil, time_point{});
+  if (QuietUntil == time_point{})
+    return;
+  Log.write(
+      [&] {
+        return absl::StrCat(
+            "endpoint id=", Endpoint.Record.Id.str(),
+            " in_use=1 cause=quiet-over ms=", toMilliseconds(Now - QuietUntil),
+            " service=", Endpoint.Record.Service.str());
+      },
+      Now);
 }
 
 void request_path::recordOutcome(request_state &State, fleet_endpoint &Endpoint,
@@ -499,12 +552,19 @@
     Wanted.Excluded = State.Tried;
     Wanted.Version = State.Version;
     const auto Placed = Fleet.place(State.Service, Wanted, Now);
+    if (Placed.Result == placement_result::AllQuiet) {
+      absl::StrAppend(&State.Reason, "+endpoints-quiet");
+      co_return State.MayHaveRun ? unknownOutcomeReply(State)
+                                 : refuse(State, 503, "endpoints-quiet",
+                                          toSeconds(Placed.QuietUntil - Now));
+    }
     if (!Placed.Endpoint) {
       absl::StrAppend(&State.Reason, "+no-endpoint");
       co_return State.MayHaveRun
           ? unknownOutcomeReply(State)
           : refuse(State, 503, "no-endpoint", ShortRetrySeconds);
     }
+    noteUse(*Placed.Endpoint, Now);
     State.Endpoint = Placed.Endpoint->Record.Id.str();
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -105,6 +105,8 @@
   /** Takes the endpoint out of use when @p Reply says so. */
   void noteAnnouncements(const request_state &State, fleet_endpoint &Endpoint,
                          const http_reply &Reply, time_point Now);
+  /** Logs that an endpoint is used again after it had asked for quiet. */
+  void noteUse(fleet_endpoint &Endpoint, time_point Now);
   /** Updates health, load, known objects and rollout from one attempt. */
   void recordOutcome(request_state &State, fleet_endpoint &Endpoint,
                      const exchange_result &Result);
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -114,7 +114,7 @@
   if (Entry.StartedAt > Record.StartedAt)
     return nullptr;
   if (Entry.StartedAt != Record.StartedAt || Entry.Address != Record.Address)
-    Entry = {Record.StartedAt, Record.Address};
+    Entry = {Record.StartedAt, Record.Address, false, {}, 0};
   Entry.Order = ++AnnouncementsMade;
   if (Announced.size() > MaxAnnouncements)
     Announced.erase(std::min_element(Announced.begin(), Announced.end(),
@@ -132,6 +132,7 @@
       Found->second.Address != Endpoint.Record.Address)
     return;
   Endpoint.IsLeavingReported = Found->second.IsLeaving;
+  Endpoint.QuietUntil = Found->second.QuietUntil;
 }
 
 void endpoint_registry::noteLeaving(const endpoint_record &Record) {
@@ -145,6 +146,17 @@
     recall(*Known);
 }
 
+void endpoint_registry::noteQuiet(const endpoint_record &Record,
+                                  time_point Until) {
+  auto *Announcement = announcementOf(Record);
+  if (Announcement == nullptr)
+    return;
+  Announcement->QuietUntil = std::max(Announcement->QuietUntil, Until);
+  const auto Known = find(Record.Id);
+  if (Known && isSameProcess(Known->Record, Record))
+    recall(*Known);
+}
+
 bool endpoint_registry::remove(const endpoint_id &Id,
                                std::optional<time_point> UsableUntil) {
   const auto Found = Endpoints.find(Id);
--- a/src/load_balancing/placement.cpp
+++ b/src/load_balancing/placement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace sesamepaddle {
 
@@ -106,7 +107,8 @@
   std::vector<candidate> Order;
   Order.reserve(Endpoints.size());
   for (const auto &Endpoint : Endpoints) {
-    if (!isUsable(*Endpoint, Request, Limits) || isExcluded(Endpoint, Request))
+    if (!isUsable(*Endpoint, Request, Limits) || Endpoint->isQuiet(Now) ||
+        isExcluded(Endpoint, Request))
       continue;
     const bool IsNear = Endpoint->Record.Region == Request.CallerRegion;
     const double Weight = std::max(1U, Endpoint->Record.Slots) *
@@ -143,6 +145,24 @@
   return Order;
 }
 
+/** @returns when the first endpoint that may be used wants requests again, or
+    nothing when none may be used or one wants them now, even if the request has
+    been there. */
+std::optional<time_point>
+endOfQuiet(std::span<const endpoint_pointer> Endpoints,
+           const placement_request &Request, const placement_limits &Limits,
+           time_point Now) {
+  std::optional<time_point> End;
+  for (const auto &Endpoint : Endpoints) {
+    if (!isUsable(*Endpoint, Request, Limits))
+      continue;
+    if (!Endpoint->isQuiet(Now))
+      return std::nullopt;
+    End = std::min(End.value_or(time_point::max()), Endpoint->QuietUntil);
+  }
+  return End;
+}
+
 } // namespace
 
 placed_endpoint placeRequest(std::span<const endpoint_pointer> Endpoints,
@@ -150,8 +170,11 @@
                              const placement_limits &Limits,
                              const placement_options &Options, time_point Now) {
   const auto Order = orderCandidates(Endpoints, Request, Limits, Options, Now);
-  if (Order.empty())
-    return {placement_result::NoEndpoint, nullptr};
+  if (Order.empty()) {
+    if (const auto End = endOfQuiet(Endpoints, Request, Limits, Now))
+      return {placement_result::AllQuiet, nullptr, *End};
+    return {placement_result::NoEndpoint, nullptr, {}};
+  }
   endpoint_pointer Cheapest;
   double LeastCost = std::numeric_limits<double>::max();
   std::size_t WithoutObject = 0;
@@ -166,7 +189,7 @@
         if (Cheapest || !isColdSendDue(*Endpoint, Limits, Now))
           continue;
         countColdSend(*Endpoint, Limits, Now);
-        return {placement_result::Placed, Endpoint};
+        return {placement_result::Placed, Endpoint, {}};
       }
       // If all are busy, the expected time to the answer decides between
       // waiting at an endpoint that knows the object and running at one that
@@ -179,7 +202,7 @@
           Load < (Candidate.KnowsObject ? Options.KnownObjectFullLoad
                                         : Options.FullLoad);
       if (IsFree && Cost < LeastCost)
-        return {placement_result::Placed, Endpoint};
+        return {placement_result::Placed, Endpoint, {}};
       if (Cost < LeastCost) {
         LeastCost = Cost;
         Cheapest = Endpoint;
@@ -188,9 +211,9 @@
         break;
     }
     if (Cheapest)
-      return {placement_result::Placed, Cheapest};
+      return {placement_result::Placed, Cheapest, {}};
   }
-  return {placement_result::AllFull, nullptr};
+  return {placement_result::AllFull, nullptr, {}};
 }
 
 } // namespace sesamepaddle
--- a/tests/command_line/request_explanation_test.cpp
+++ b/tests/command_line/request_explanation_test.cpp
@@ -25,6 +25,8 @@
 vm-1 2026-02-13 16:54:15.200 INFO  ingress: request id=late status=504 reason=timed-out+no-time route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=0 load=6 attempts=1 unreached=0 ms=1200.2 object=17
 vm-1 2026-02-13 16:54:15.300 INFO  ingress: request id=full status=503 reason=not-run+no-budget route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=1 load=9 attempts=2 unreached=0 ms=30.4 object=17
 vm-1 2026-02-13 16:54:15.310 INFO  ingress: request id=none status=503 reason=+no-endpoint route=r-1 version=9 service=orders workspace=bakery endpoint= known=0 load=0 attempts=0 unreached=0 ms=0.4 object=17
+vm-1 2026-02-13 16:54:15.312 INFO  ingress: endpoint id=i-7f in_use=0 cause=quiet seconds=5 request=full service=orders
+vm-1 2026-02-13 16:54:15.315 INFO  ingress: request id=quiet status=503 reason=+endpoints-quiet route=r-1 version=9 service=orders workspace=bakery endpoint= known=0 load=0 attempts=0 unreached=0 ms=0.4 object=17
 vm-1 2026-02-13 16:54:15.320 INFO  ingress: request id=lost status=502 reason=lost route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=1 load=1 attempts=1 unreached=0 ms=300 object=17
 vm-1 2026-02-13 16:54:15.330 INFO  ingress: request id=twice status=502 reason=not-run+no-attempts route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=0 load=3 attempts=2 unreached=0 tried=i-6a:lost,i-7f:503 ms=120.7 object=27
 vm-1 2026-02-13 16:54:15.340 INFO  ingress: request id=left status=502 reason=caller-left route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=1 load=1 attempts=0 unreached=0 tried=i-7f:caller-left ms=300 object=17
@@ -63,6 +65,8 @@
     CHECK(mentions(causeOf("full"), "did not run it, and this VM's part of "
                                     "the budget of retries was spent"));
     CHECK(mentions(causeOf("none"), "no endpoint of orders"));
+    CHECK(mentions(causeOf("quiet"), "all endpoints of orders that it could "
+                                     "use had asked for no requests"));
   }
 
   SUBCASE("the cause says when the request may have run") {
--- a/tests/ingress/endpoint_announcements_test.cpp
+++ b/tests/ingress/endpoint_announcements_test.cpp
@@ -75,6 +75,14 @@
   return true;
 }
 
+/** @returns the part of the registry's QuietUntil that is left. */
+duration quietTimeLeft(ingress_fixture &Fixture) {
+  return Fixture.onVm([](fleet_state &Fleet) {
+    const auto Endpoint = Fleet.endpoints().find(endpoint_id("i-0"));
+    return std::max(Endpoint->QuietUntil - boot_clock::now(), duration(0));
+  });
+}
+
 } // namespace
 
 TEST_CASE(
@@ -184,3 +192,140 @@
   REQUIRE(Fixture.endpoint(0).connections() == 2);
   CHECK(waitUntil([&] { return Fixture.endpoint(0).endedIdle() == 2; }));
 }
+
+TEST_CASE("an endpoint that asks for quiet gets nothing until the time has "
+          "passed") {
+  ingress_fixture Fixture(
+      {once("503 Full", "Not-Run: 1\r\nRetry-After: 20\r\n"),
+       always("200 OK", "")});
+  sendMany(Fixture, "first");
+  CHECK(Fixture.endpoint(0).requests().size() == 1);
+  CHECK(Fixture.endpoint(1).requests().size() == 24);
+
+  SUBCASE("also after its row lapsed and came back") {
+    auto Record = recordOf(Fixture, 0);
+    removeRecord(Fixture, Record.Id);
+    applyRecord(Fixture, Record);
+    sendMany(Fixture, "second");
+    CHECK(Fixture.endpoint(0).requests().size() == 1);
+  }
+  SUBCASE("but a new incarnation is used") {
+    auto Record = recordOf(Fixture, 0);
+    ++Record.StartedAt;
+    applyRecord(Fixture, Record);
+    sendMany(Fixture, "second");
+    CHECK(Fixture.endpoint(0).requests().size() > 1);
+  }
+}
+
+TEST_CASE("an endpoint is used again after its quiet time") {
+  ingress_fixture Fixture(
+      {once("503 Full", "Not-Run: 1\r\nRetry-After: 0.4\r\n")});
+  Fixture.post("/orders/1", "r1", "cloth");
+  CHECK(quietTimeLeft(Fixture) > duration(0));
+  REQUIRE(waitUntil([&] { return quietTimeLeft(Fixture) == duration(0); }));
+  CHECK(isStatus(Fixture.post("/orders/1", "r2", "cloth"), 200));
+}
+
+TEST_CASE("requests are refused at once while all endpoints are quiet") {
+  ingress_fixture Fixture(
+      {always("503 Full", "Not-Run: 1\r\nRetry-After: 20\r\n"),
+       always("503 Full", "Not-Run: 1\r\nRetry-After: 25\r\n")});
+  sendMany(Fixture, "first", 4);
+  const auto Reply = Fixture.post("/orders/1", "r1", "cloth");
+  CHECK(isStatus(Reply, 503));
+  CHECK(mentions(Reply, "endpoints-quiet"));
+  // When the first of the two wants requests again.
+  const double Seconds = std::atof(fieldOf(Reply, "Retry-After").c_str());
+  CHECK(Seconds > 10);
+  CHECK(Seconds < 20.5);
+  CHECK(Fixture.endpoint(0).requests().size() == 1);
+  CHECK(Fixture.endpoint(1).requests().size() == 1);
+}
+
+TEST_CASE("a time without requests is taken only from a 503 with a number") {
+  std::string Status = "503 Full";
+  std::string Fields;
+  duration Least{0};
+  duration Most{0};
+  SUBCASE("none") {}
+  SUBCASE("zero") { Fields = "Retry-After: 0\r\n"; }
+  SUBCASE("negative") { Fields = "Retry-After: -5\r\n"; }
+  SUBCASE("a word") { Fields = "Retry-After: soon\r\n"; }
+  SUBCASE("not a number") { Fields = "Retry-After: nan\r\n"; }
+  SUBCASE("a number and more") { Fields = "Retry-After: 5 s\r\n"; }
+  SUBCASE("a date") {
+    Fields = "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n";
+  }
+  SUBCASE("another status") {
+    Status = "429 Many";
+    Fields = "Retry-After: 5\r\n";
+  }
+  SUBCASE("a success") {
+    Status = "200 OK";
+    Fields = "Retry-After: 5\r\n";
+  }
+  SUBCASE("whole seconds") {
+    Fields = "Retry-After: 25\r\n";
+    Least = milliseconds(5'000);
+    Most = milliseconds(25'000);
+  }
+  SUBCASE("fractional seconds") {
+    Fields = "Retry-After: 20.5\r\n";
+    Least = milliseconds(5'000);
+    Most = milliseconds(20'500);
+  }
+  SUBCASE("more than an endpoint may ask for") {
+    Fields = "Retry-After: 999999999999\r\n";
+    Least = milliseconds(5'000);
+    Most = milliseconds(30'000);
+  }
+  SUBCASE("more than a number can hold") {
+    Fields = "Retry-After: " + std::string(400, '9') + "\r\n";
+    Least = milliseconds(5'000);
+    Most = milliseconds(30'000);
+  }
+  ingress_fixture Fixture({always(Status, Fields)});
+  Fixture.post("/orders/1", "r1", "cloth");
+  const auto Left = quietTimeLeft(Fixture);
+  CHECK(Left >= Least);
+  CHECK(Left <= Most);
+}
+
+TEST_CASE("a shorter quiet time does not end a longer one") {
+  ingress_fixture Fixture({[](const std::string &Request) {
+    const bool IsSlow = fieldOf(Request, "Id") == "slow";
+    return scripted_answer{
+        makeAnswer(Request, "", "503 Full",
+                   IsSlow ? "Retry-After: 0.01\r\n" : "Retry-After: 25\r\n"),
+        "", false, false, milliseconds(IsSlow ? 300 : 0)};
+  }});
+  auto Slow = std::async(std::launch::async, [&] {
+    return Fixture.post("/orders/1", "slow", "cloth");
+  });
+  REQUIRE(
+      waitUntil([&] { return Fixture.endpoint(0).requests().size() == 1; }));
+  Fixture.post("/orders/1", "r1", "cloth");
+  Slow.get();
+  CHECK(quietTimeLeft(Fixture) > milliseconds(5'000));
+}
+
+TEST_CASE("a 503 that asks for quiet without saying that it did not run is "
+          "the endpoint's answer") {
+  ingress_fixture Fixture({always("503 Busy", "Retry-After: 20\r\n"),
+                           always("503 Busy", "Retry-After: 20\r\n")});
+  const auto Sent = [&] {
+    return Fixture.endpoint(0).requests().size() +
+           Fixture.endpoint(1).requests().size();
+  };
+  SUBCASE("a request that may run once is not sent again") {
+    const auto Reply = Fixture.post("/orders/1", "r1", "cloth");
+    CHECK(isStatus(Reply, 503));
+    CHECK(fieldOf(Reply, "Retry-After") == "20");
+    CHECK(Sent() == 1);
+  }
+  SUBCASE("a request that may be repeated is sent to another endpoint") {
+    CHECK(isStatus(Fixture.get("/checks/1", "r1"), 503));
+    CHECK(Sent() == 2);
+  }
+}
--- a/tests/load_balancing/placement_test.cpp
+++ b/tests/load_balancing/placement_test.cpp
@@ -307,6 +307,74 @@
   }
 }
 
+TEST_CASE("an endpoint that asked for quiet is not used for that time") {
+  fleet Fleet;
+  const auto Before = Fleet.placeAll();
+  const auto Until = Start + milliseconds(4'000);
+  Fleet.Registry.find(endpoint_id("i-1"))->QuietUntil = Until;
+
+  SUBCASE("only its objects move, and they come back after it") {
+    for (const auto &[Object, Id] : Fleet.placeAll()) {
+      CHECK(Id != "i-1");
+      if (Before.at(Object) != "i-1")
+        CHECK(Id == Before.at(Object));
+    }
+    for (const auto &[Object, Id] : Before) {
+      CHECK(Fleet.place(Object, Until - milliseconds(1))->Record.Id.str() !=
+            "i-1");
+      CHECK(Fleet.place(Object, Until)->Record.Id.str() == Id);
+    }
+  }
+
+  placement_request Request;
+  Request.CallerRegion = region_name("lima");
+  const auto Place = [&] {
+    return placeRequest(Fleet.Registry.of(Orders), Request, Fleet.Limits, {},
+                        Start);
+  };
+  SUBCASE("while others may not be used, the first end of a time is told") {
+    const std::vector<region_name> Homes = {region_name("lima")};
+    Request.RouteHomes = Homes;
+    Fleet.Registry.find(endpoint_id("i-0"))->QuietUntil =
+        Until + milliseconds(500);
+    CHECK(Place().Result == placement_result::Placed);
+    Fleet.Limits.EvacuatedDomains = {failure_domain_name("lima-a")};
+    CHECK(Place().Result == placement_result::NoEndpoint);
+    Fleet.Limits.EvacuatedDomains = {};
+    Fleet.Registry.find(endpoint_id("i-2"))->QuietUntil =
+        Until + milliseconds(900);
+    const auto Placed = Place();
+    CHECK(Placed.Result == placement_result::AllQuiet);
+    CHECK(Placed.Endpoint == nullptr);
+    CHECK(Placed.QuietUntil == Until);
+
+    SUBCASE("also when one of them has been tried") {
+      const std::vector<endpoint_pointer> Tried = {
+          Fleet.Registry.find(endpoint_id("i-1"))};
+      Request.Excluded = Tried;
+      CHECK(Place().Result == placement_result::AllQuiet);
+      CHECK(Place().QuietUntil == Until);
+    }
+    SUBCASE("not when one that wants requests has been tried") {
+      const std::vector<endpoint_pointer> Tried = {
+          Fleet.Registry.find(endpoint_id("i-1"))};
+      Request.Excluded = Tried;
+      Tried[0]->QuietUntil = {};
+      CHECK(Place().Result == placement_result::NoEndpoint);
+    }
+  }
+  SUBCASE("the limit of a cold endpoint holds beside quiet ones") {
+    Fleet.Limits.ColdRequestsPerSecond = 4;
+    for (const auto &Endpoint : Fleet.Registry.of(Orders))
+      if (Endpoint->Record.Id.str() == "i-2")
+        Endpoint->ColdUntil = Until;
+      else
+        Endpoint->QuietUntil = Until;
+    CHECK(Place().Result == placement_result::Placed);
+    CHECK(Place().Result == placement_result::AllFull);
+  }
+}
+
 TEST_CASE("all VMs together stay within the limit of a cold endpoint") {
   // Required limit for any second: 1.5 times the tolerated rate plus 5.
   constexpr double Tolerated = 4.4;
