--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -63,15 +63,19 @@
       It is faster on these. Bounded; the least recently used one is dropped. */
   std::unordered_map<std::uint64_t, time_point> KnownObjects;
   bool IsReplaced = false; ///< another instance has answered at its address
-  /** The endpoint itself reported that it is leaving, before its record did.
-      Never set at present. */
+  /** The endpoint itself reported that it is leaving, whatever its record says.
+      @see endpoint_registry::noteLeaving */
   bool IsLeavingReported = false;
+  /** The endpoint itself asked for no requests until then.
+      @see endpoint_registry::noteQuiet */
+  time_point QuietUntil{};
   std::optional<time_point> RemovedAt; ///< never set at present
 
   bool isCold(time_point Now) const {
     return Now < ColdUntil || Now < PossiblyColdUntil;
   }
   bool isAvoided(time_point Now) const { return Now < AvoidUntil; }
+  bool isQuiet(time_point Now) const { return Now < QuietUntil; }
 
   /** Counts a connection attempt that was refused or timed out, whether it was
       made for a request or as a check after a lost connection. The endpoint is
@@ -113,6 +117,16 @@
       record belongs to an earlier incarnation and was ignored */
   std::string apply(const endpoint_record &Record, time_point Now);
 
+  /** Records that the endpoint that registered @p Record has reported that it
+      is leaving. Later records of the same incarnation do not undo it, not even
+      after the endpoint has been removed. */
+  void noteLeaving(const endpoint_record &Record);
+
+  /** Records that the endpoint that registered @p Record has asked for no
+      requests until @p Until. A shorter time does not end a longer one. Kept as
+      with noteLeaving(). */
+  void noteQuiet(const endpoint_record &Record, time_point Until);
+
   /** Removes an endpoint. Requests that were sent to it continue.
       @param UsableUntil  when set, an endpoint that is not leaving is removed
                           only then, by expire(): its record may have expired
@@ -149,7 +163,26 @@
 
   std::size_t size() const { return Endpoints.size(); }
 
+  /** @returns the number of incarnations whose announcements are kept. */
+  std::size_t announcements() const { return Announced.size(); }
+
 private:
+  /** What one incarnation of an endpoint has said about itself in answers. */
+  struct announcement {
+    std::int64_t StartedAt = 0;
+    std::string Address;
+    bool IsLeaving = false;
+    time_point QuietUntil{};
+    std::uint64_t Order = 0; ///< larger for a later one
+  };
+
+  /** @returns the place for what the endpoint of @p Record says, or null when a
+      later incarnation has spoken or registered. */
+  announcement *announcementOf(const endpoint_record &Record);
+
+  /** Sets what @p Endpoint has said before its record came back. */
+  void recall(fleet_endpoint &Endpoint) const;
+
   /** Recomputes the list of @p Service in ByService. */
   void rebuild(const service_name &Service);
 
@@ -159,6 +192,8 @@
   /** Endpoints whose record is gone but that stay usable until the given
       time. */
   std::map<endpoint_id, time_point> RemovalTimes;
+  std::map<endpoint_id, announcement> Announced;
+  std::uint64_t AnnouncementsMade = 0;
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -44,6 +44,15 @@
 // Retry-After, before that random time, while this VM has no configuration.
 constexpr double NoConfigurationRetrySeconds = 0.4;
 
+// Bound on the time for which one answer may silence an endpoint: longer than
+// an endpoint needs to work off its queue or to start anew, and short enough
+// that a faulty value does not take it away for long.
+constexpr double MaxQuietSeconds = 30;
+
+double toSeconds(duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
 double toMilliseconds(duration Span) {
   return std::chrono::duration<double, std::milli>(Span).count();
 }
@@ -61,6 +70,18 @@
   return Load;
 }
 
+/** @returns the time in a Retry-After field, whole or fractional seconds,
+   within MaxQuietSeconds; zero when it has none, a date, or no positive number.
+ */
+duration parseQuietTime(std::string_view Text) {
+  double Seconds = 0;
+  if (Text.find_first_not_of("0123456789.") != std::string_view::npos ||
+      !absl::SimpleAtod(toAbsl(Text), &Seconds) || !(Seconds > 0))
+    return duration(0);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(std::min(Seconds, MaxQuietSeconds)));
+}
+
 /** What an answer says about the request. */
 enum class answer_meaning : std::uint8_t {
   Final,    ///< the endpoint's answer, to be forwarded
@@ -95,6 +116,11 @@
   return answer_meaning::Final;
 }
 
+/** @returns the name of one run of an endpoint's process in upstream_pool. */
+std::string endpointRun(const fleet_endpoint &Endpoint) {
+  return absl::StrCat(Endpoint.Record.Id.str(), "/", Endpoint.Record.StartedAt);
+}
+
 bool isFaultStatus(unsigned Status) { return Status >= 500; }
 
 /** @returns the outcome of an attempt, for the log. */
@@ -300,8 +326,7 @@
   Limits.Connect = ConnectTimeout;
   Limits.Deadline = State.Deadline + LateAnswerTime;
   Limits.BodyBytes = State.Configuration->limits().BodyBytes;
-  const std::string EndpointRun =
-      absl::StrCat(Record.Id.str(), "/", Record.StartedAt);
+  const std::string EndpointRun = endpointRun(*Endpoint);
   ++Endpoint->InFlight;
   const auto Objective = std::chrono::duration_cast<milliseconds>(
       State.Route->LatencyObjective * LateFactor);
@@ -336,8 +361,9 @@
   co_await Timer.async_wait(asio::use_awaitable);
   const auto &Record = Endpoint->Record;
   const bool IsThere = co_await Upstreams.connect(
-      absl::StrCat(Record.Id.str(), "/", Record.StartedAt), Record.Address,
-      ConnectTimeout);
+      endpointRun(*Endpoint), Record.Address, ConnectTimeout);
+  if (IsThere && Endpoint->IsLeavingReported)
+    Upstreams.discard(endpointRun(*Endpoint));
   if (IsThere)
     co_return;
   const auto Now = boot_clock::now();
@@ -370,10 +396,68 @@
   }
 }
 
+// Announcements of another endpoint at the address do not count.
+void request_path::noteAnnouncements(const request_state &State,
+                                     fleet_endpoint &Endpoint,
+                                     const http_reply &Reply, time_point Now) {
+  const auto &Record = Endpoint.Record;
+  const auto &Fields = Fleet.options().Fields;
+  const bool IsLeaving = findHeader(Reply.Headers, Fields.Leaving) == "1";
+  if (IsLeaving && !std::exchange(Endpoint.IsLeavingReported, true)) {
+    Fleet.endpoints().noteLeaving(Record);
+    Log.write(
+        [&] {
+          return absl::StrCat(
+              "endpoint id=", Record.Id.str(),
+              " in_use=0 cause=leaving request=", State.RequestId,
+              " service=", Record.Service.str());
+        },
+        Now);
+  }
+  if (Reply.Status != 503)
+    return;
+  const auto Quiet = parseQuietTime(findHeader(Reply.Headers, "Retry-After"));
+  if (Quiet <= duration(0))
+    return;
+  const bool WasQuiet = Endpoint.isQuiet(Now);
+  Endpoint.QuietUntil = std::max(Endpoint.QuietUntil, Now + Quiet);
+  Fleet.endpoints().noteQuiet(Record, Endpoint.QuietUntil);
+  if (WasQuiet)
+    return;
+  Log.write(
+      [&] {
+        return absl::StrCat("endpoint id=", Record.Id.str(),
+                            " in_use=0 cause=quiet seconds=", toSeconds(Quiet),
+                            " request=", State.RequestId,
+                            " service=", Record.Service.str());
+      },
+      Now);
+}
+
+void request_path::noteUse(fleet_endpoint &Endpoint, time_point Now) {
+  const auto QuietUntil = std::exchange(Endpoint.QuietUntil, time_point{});
+  if (QuietUntil == time_point{})
+    return;
+  Log.write(
+      [&] {
+        return absl::StrCat(
+            "endpoint id=", Endpoint.Record.Id.str(),
+            " in_use=1 cause=quiet-over ms=", toMilliseconds(Now - QuietUntil),
+            " service=", Endpoint.Record.Service.str());
+      },
+      Now);
+}
+
 void request_path::recordOutcome(request_state &State, fleet_endpoint &Endpoint,
                                  const exchange_result &Result) {
   const auto Now = boot_clock::now();
   const auto &Fields = Fleet.options().Fields;
+  if (Result.End == exchange_end::Answered &&
+      classify(Result.Reply, Fields) != answer_meaning::Replaced)
+    noteAnnouncements(State, Endpoint, Result.Reply, Now);
+  // Also after later answers, whose connections have become idle since.
+  if (Endpoint.IsLeavingReported)
+    Upstreams.discard(endpointRun(Endpoint));
   switch (Result.End) {
   case exchange_end::NotConnected:
     Endpoint.addFailure(Now);
@@ -482,12 +566,19 @@
     Wanted.Excluded = State.Tried;
     Wanted.Version = State.Version;
     const auto Placed = Fleet.place(State.Service, Wanted, Now);
+    if (Placed.Result == placement_result::AllQuiet) {
+      absl::StrAppend(&State.Reason, "+endpoints-quiet");
+      co_return State.MayHaveRun ? unknownOutcomeReply(State)
+                                 : refuse(State, 503, "endpoints-quiet",
+                                          toSeconds(Placed.QuietUntil - Now));
+    }
     if (!Placed.Endpoint) {
       absl::StrAppend(&State.Reason, "+no-endpoint");
       co_return State.MayHaveRun
           ? unknownOutcomeReply(State)
           : refuse(State, 503, "no-endpoint", ShortRetrySeconds);
     }
+    noteUse(*Placed.Endpoint, Now);
     State.Endpoint = Placed.Endpoint->Record.Id.str();
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
