What an endpoint says of itself counts only with the request's id

Cause: 'endpoints that leave or ask for quiet' and 'refusals without an id' were written beside each other; joined, an answer of another request could have taken an endpoint out of use. Change: announcements are read from answers that have the id of their request; the lab's field names follow.

--- a/lab/measure/ingress_bench.cpp
+++ b/lab/measure/ingress_bench.cpp
@@ -62,8 +62,8 @@
   Vm.CallerAddress = formatEndpoint(freeEndpoint());
   Vm.GossipAddress = "127.0.0.1:0";
   Vm.DirectoryAddress = formatEndpoint(Directory);
-  Options.Fields = {"Id",       "Object", "Deadline", "Key", "Workspace",
-                    "Expected", "Proof",  "Not-Run",  "Load"};
+  Options.Fields = {"Id",       "Object", "Deadline", "Key",  "Workspace",
+                    "Expected", "Proof",  "Not-Run",  "Load", "Leaving"};
   Options.Paths = {"/ready", "/directory", "/metrics"};
   Options.Directory.Read = [](std::string_view) {
     return directory_query{region_name("lima"), failure_domain_name("lima-a")};
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -452,8 +452,8 @@
                                  const exchange_result &Result) {
   const auto Now = boot_clock::now();
   const auto &Fields = Fleet.options().Fields;
-  if (Result.End == exchange_end::Answered &&
-      classify(Result.Reply, Fields) != answer_meaning::Replaced)
+  if (Result.End == exchange_end::Answered && Result.HasRequestId &&
+      classify(Result, Fields) != answer_meaning::Replaced)
     noteAnnouncements(State, Endpoint, Result.Reply, Now);
   // Also after later answers, whose connections have become idle since.
   if (Endpoint.IsLeavingReported)
