--- a/tests/adapter/row_age_test.cpp
+++ b/tests/adapter/row_age_test.cpp
@@ -64,6 +64,21 @@
   std::string Name = "reader";
 };
 
+/** Lets the store no longer answer reads of the operator's table, and waits for
+    some further reads of endpoints.
+    @returns the number of reads of endpoints before */
+std::size_t silenceOperatorTable(synchronizer_fixture &Fixture,
+                                 std::size_t FurtherReads) {
+  const auto Before = Fixture.onThread([&] {
+    Fixture.Store.SilentTables = {"op"};
+    return Fixture.Store.AnsweredReads["servers"];
+  });
+  Fixture.await([&] {
+    return Fixture.Store.AnsweredReads["servers"] >= Before + FurtherReads;
+  });
+  return Before;
+}
+
 } // namespace
 
 TEST_CASE("a VM does not keep an outdated configuration when its reader passes "
@@ -90,15 +105,10 @@
   synchronizer_fixture Fixture;
   Fixture.start();
   Fixture.awaitFirstRead();
-  Fixture.onThread([&] {
-    Fixture.Store.SilentTables = {"op"};
-    return true;
-  });
   const auto EndpointReads = [&] {
     return Fixture.Store.AnsweredReads["servers"];
   };
-  const auto Before = Fixture.onThread(EndpointReads);
-  Fixture.await([&] { return EndpointReads() >= Before + 5; });
+  const auto Before = silenceOperatorTable(Fixture, 5);
   std::size_t FreshAnswers = 0;
   while (Fixture.onThread(EndpointReads) < Before + 10) {
     std::promise<bool> IsFresh;
@@ -126,14 +136,6 @@
     return Fixture.Fleet.isStoreFresh(boot_clock::now());
   };
   Fixture.await(IsStoreFresh);
-  Fixture.onThread([&] {
-    Fixture.Store.SilentTables = {"op"};
-    return true;
-  });
-  const auto EndpointReads = [&] {
-    return Fixture.Store.AnsweredReads["servers"];
-  };
-  const auto Before = Fixture.onThread(EndpointReads);
-  Fixture.await([&] { return EndpointReads() >= Before + 6; });
+  silenceOperatorTable(Fixture, 6);
   CHECK_FALSE(Fixture.onThread(IsStoreFresh));
 }
