review: a planned stop breaks off safe requests that come after 3 s

A safe request is taken until 3.3 s after SIGTERM if it usually ends in time, and broken off at 5.5 s with its endpoint at work; the rule excuses those sent up to 3 s after SIGTERM.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -u
 Folder=$(cd "$(dirname "$0")" && pwd)
 cd "$Folder/../.." || exit 2
-[ -x review/build/late_heartbeat ] || exit 2
-timeout -k 5 110 review/build/late_heartbeat "$Folder"
+[ -x review/build/late_in_grace ] || exit 2
+timeout -k 5 110 review/build/late_in_grace "$Folder"
 Code=$?
 case $Code in 0 | 1) exit $Code ;; *) exit 2 ;; esac
