A heartbeat that is written late does not undo what an endpoint said after it

Cause: rows were ordered by the store's revision alone. The store may carry out a heartbeat that it did not answer seconds later, and the copies of the table, and so all VMs, took it for the endpoint's newest word. The endpoint's own number was checked and dropped; its start was compared only while its row was known, so that a late heartbeat also brought back an endpoint whose row had been removed. Ruled out: one VM that missed the drain (arrivals came from all), a reader or a whole read that forgets it (none at that time).

Change: endpoint_record keeps the number, isOutdated() orders records by start, then number.

--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -32,8 +32,16 @@
   std::chrono::milliseconds ColdRemaining{0}; ///< until it has warmed up
   /** Distinguishes incarnations with the same id; a later one is larger. */
   std::int64_t StartedAt = 0;
+  /** Number of the heartbeat that wrote the record; rises within an
+      incarnation. Unset: the record has none. */
+  std::optional<std::uint64_t> Sequence;
 };
 
+/** @returns true when the endpoint wrote @p Record before @p Known: in an
+    earlier incarnation, or with an earlier heartbeat of the same one. The store
+    may carry out such a write late. */
+bool isOutdated(const endpoint_record &Record, const endpoint_record &Known);
+
 /** The load that an endpoint reports in a header of its answers. */
 struct reported_load {
   unsigned Running = 0; ///< requests
@@ -114,7 +122,7 @@
   /** Adds or updates an endpoint. What is known of it is kept unless its
       incarnation, address or service has changed.
       @returns the change for the log, or an empty string; "stale" when the
-      record belongs to an earlier incarnation and was ignored */
+      record is outdated and was ignored */
   std::string apply(const endpoint_record &Record, time_point Now);
 
   /** Records that the endpoint that registered @p Record has reported that it
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -35,6 +35,15 @@
 
 } // namespace
 
+bool isOutdated(const endpoint_record &Record, const endpoint_record &Known) {
+  if (Record.StartedAt != Known.StartedAt)
+    return Record.StartedAt < Known.StartedAt;
+  // Heartbeats of two processes that started at the same time can't be
+  // compared.
+  return Record.Address == Known.Address && Record.Sequence && Known.Sequence &&
+         *Record.Sequence < *Known.Sequence;
+}
+
 void fleet_endpoint::addFailure(time_point Now) {
   const unsigned Doublings = std::min(FailuresInRow, 3U);
   ++FailuresInRow;
@@ -73,9 +82,7 @@
 std::string endpoint_registry::apply(const endpoint_record &Record,
                                      time_point Now) {
   const auto Known = Endpoints.find(Record.Id);
-  // A heartbeat of an earlier incarnation may be written late.
-  if (Known != Endpoints.end() &&
-      Record.StartedAt < Known->second->Record.StartedAt)
+  if (Known != Endpoints.end() && isOutdated(Record, Known->second->Record))
     return "stale";
   RemovalTimes.erase(Record.Id);
   auto &Endpoint = Endpoints[Record.Id];
@@ -96,8 +103,8 @@
     if (!Former.empty() && Former != Record.Service)
       rebuild(Former);
     rebuild(Record.Service);
-  } else if (Record.IsLeaving && !Endpoint->Record.IsLeaving) {
-    Change = "leaving";
+  } else if (Record.IsLeaving != Endpoint->Record.IsLeaving) {
+    Change = Record.IsLeaving ? "leaving" : "staying";
   }
   Endpoint->Record = Record;
   Endpoint->ColdUntil = Now + Record.ColdRemaining;
--- a/tests/adapter/synchronizer_fixture.h
+++ b/tests/adapter/synchronizer_fixture.h
@@ -23,11 +23,14 @@
          R"(,"services":[{"name":"s1"}],"limits":{},"tenants":[],"hosts":[]})";
 }
 
-inline std::string endpointText(const std::string &State) {
-  return R"({"address":"10.128.0.9:8080","born":1234,"information":
+inline std::string endpointText(const std::string &State, unsigned Sequence = 4,
+                                unsigned Born = 1234) {
+  return R"({"address":"10.128.0.9:8080","born":)" + std::to_string(Born) +
+         R"(,"information":
              {"service":"s1","version":"v1","zone":"lima-a","slots":5},
              "status":{"state":")" +
-         State + R"(","sequence":4,"coldRemainingS":0}})";
+         State + R"(","sequence":)" + std::to_string(Sequence) +
+         R"(,"coldRemainingS":0}})";
 }
 
 /** A fake store and the synchronizer of one VM, on a thread of their own. */
--- a/tests/load_balancing/placement_test.cpp
+++ b/tests/load_balancing/placement_test.cpp
@@ -229,6 +229,31 @@
       CHECK(Fleet.place("7")->Record.Id == Record.Id);
     }
   }
+
+  // The store may write a heartbeat after those that followed it.
+  SUBCASE("a late heartbeat does not put an endpoint back into use") {
+    auto Record = Fleet.place("7")->Record;
+    Record.Sequence = 5;
+    Record.IsLeaving = true;
+    CHECK(Fleet.Registry.apply(Record, Start) == "leaving");
+    Record.Sequence = 4;
+    Record.IsLeaving = false;
+    CHECK(Fleet.Registry.apply(Record, Start) == "stale");
+    CHECK(Fleet.place("7")->Record.Id != Record.Id);
+
+    SUBCASE("but a later one does") {
+      Record.Sequence = 6;
+      CHECK(Fleet.Registry.apply(Record, Start) == "staying");
+      CHECK(Fleet.place("7")->Record.Id == Record.Id);
+    }
+
+    SUBCASE("and a restarted endpoint counts anew") {
+      Record.Sequence = 1;
+      Record.StartedAt = 2;
+      CHECK(Fleet.Registry.apply(Record, Start) == "joined");
+      CHECK(Fleet.place("7")->Record.Id == Record.Id);
+    }
+  }
 }
 
 TEST_CASE("endpoints whose records expired while the store was unavailable") {
