Answers without an end do not exhaust a VM's memory

Cause: upstream_pool bounds each answer, and nothing bounded all of them together. Of a body that grows, the length was counted and not the second copy. Ruled out: a bound that is applied too late (one answer stays below it).

Change: the bodies of all answers together take at most 40% of the VM's memory, like those of all requests, with both copies while they grow, until the caller has taken the answer. Without room, the largest answer of unknown length that is still arriving is given up, else the largest one; outcome unknown, or another endpoint on routes that allow it. A body that was given up counts nothing more of what it had received before.

Without the check of bodies given up, test_net 'when there is no room...' fails.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -175,7 +175,7 @@
   // A body that does not fit is refused before it is sent. Memory is taken only
   // as the body arrives, so that slow senders hold none of others.
   const auto Length = Parser.content_length();
-  if (Length && *Length > Context->Bodies.available() + Incoming.Held.bytes())
+  if (Length && *Length > Context->Bodies->available() + Incoming.Held.bytes())
     return read_end::Overloaded;
   return read_end::Whole;
 }
@@ -183,7 +183,12 @@
 caller_session::read_end caller_session::parseBuffer(incoming &Incoming,
                                                      bool &HasProgress) {
   auto &Parser = Incoming.Parser;
+  auto &Body = Parser.get().body();
   beast::error_code Error;
+  // The parser itself reserves memory for a body of known length.
+  const bool MayGrow = Parser.is_header_done() && Parser.chunked();
+  if (MayGrow && !Incoming.Held.reserve(Body, Buffer.size()))
+    return read_end::Overloaded;
   const std::size_t Used = Parser.put(Buffer.data(), Error);
   Buffer.consume(Used);
   HasProgress = Used > 0;
@@ -193,7 +198,7 @@
     return read_end::BodyTooLarge;
   if (Error && Error != http::error::need_more)
     return read_end::Malformed;
-  if (!Incoming.Held.resize(Parser.get().body().size()))
+  if (!Incoming.Held.resize(Body.size()))
     return read_end::Overloaded;
   // An endless line, for example of a chunk's extension.
   if (!HasProgress && Buffer.size() >= MaxBuffered)
@@ -272,7 +277,7 @@
   };
   const bool IsHead = Request.Message.Method == "HEAD";
   const bool WantsKeepAlive = Message.keep_alive();
-  const http_reply Reply = co_await Context->Path.run(std::move(Request));
+  const auto Answer = co_await Context->Path.run(std::move(Request));
   stopWatching();
   const bool IsGone = Cancel->isCancelled();
   Cancel->LookForCancel = nullptr;
@@ -280,7 +285,7 @@
   if (IsGone)
     co_return false;
   const bool KeepAlive = WantsKeepAlive && !Context->Fleet.isStopping();
-  const bool IsWritten = co_await write(Reply, KeepAlive, IsHead);
+  const bool IsWritten = co_await write(Answer.Reply, KeepAlive, IsHead);
   co_return IsWritten &&KeepAlive;
 }
 
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -1,10 +1,10 @@
 #ifndef SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 #define SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 
-#include "ingress/body_memory.h"
 #include "ingress/loop_monitor.h"
 #include "ingress/request_path.h"
 #include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/net/body_memory.h"
 #include "sesamepaddle/net/deadline_queue.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,8 +22,8 @@
   request_path &Path;
   deadline_queue &Deadlines;
   std::shared_ptr<loop_monitor> Monitor;
-  body_memory Bodies;
-  std::size_t Open = 0;       ///< sessions that exist
+  std::shared_ptr<body_memory> Bodies; ///< of requests
+  std::size_t Open = 0;                ///< sessions that exist
   bool IsClosingIdle = false; ///< the VM is draining: closes idle connections
 };
 
@@ -60,7 +60,8 @@
 
   /** A request that is being read. */
   struct incoming {
-    explicit incoming(body_memory &Memory) : Held(Memory) {}
+    explicit incoming(std::shared_ptr<body_memory> Memory)
+        : Held(std::move(Memory)) {}
     parser Parser;
     body_memory::holding Held; ///< memory of the body
     time_point Arrival{};      ///< estimate, of the first byte
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -36,8 +36,8 @@
 // Connections accepted in one pass of the event loop, so that those which are
 // open already get their turn.
 constexpr int MaxAcceptsPerPass = 64;
-// Fraction of a VM's memory that all request bodies together may use. A body is
-// held once, until its answer.
+// Fraction of a VM's memory that the bodies of all requests together may use,
+// and that of all answers. The rest is for everything else.
 constexpr double BodyMemoryFraction = 0.4;
 
 // Fraction of a VM's descriptors that callers' connections may take. Each of
@@ -51,9 +51,9 @@
                                   CallerDescriptorFraction);
 }
 
-std::size_t bodyMemoryLimit(const fleet_bounds &Bounds) {
-  return static_cast<std::size_t>(static_cast<double>(Bounds.MemoryBytes) *
-                                  BodyMemoryFraction);
+std::shared_ptr<body_memory> makeBodyMemory(const fleet_bounds &Bounds) {
+  return std::make_shared<body_memory>(static_cast<std::size_t>(
+      static_cast<double>(Bounds.MemoryBytes) * BodyMemoryFraction));
 }
 
 } // namespace
@@ -65,12 +65,14 @@
                  platform_handler Extra)
       : Pool(Pool), Fleet(std::move(Options)),
         Deadlines(Pool.context(0).get_executor()),
-        Upstreams(Fleet.options().Fields.RequestId, Deadlines),
+        RequestBodies(makeBodyMemory(Fleet.options().Bounds)),
+        AnswerBodies(makeBodyMemory(Fleet.options().Bounds)),
+        Upstreams(Fleet.options().Fields.RequestId, Deadlines, AnswerBodies),
         Path(Fleet, Upstreams, Metrics, Decisions),
         Sessions(std::make_shared<session_context>(session_context{
             Fleet, Path, Deadlines,
             std::make_shared<loop_monitor>(Pool.context(0), Fleet.overload()),
-            body_memory(bodyMemoryLimit(Fleet.options().Bounds))})),
+            RequestBodies})),
         Gossip(std::make_shared<vm_gossip>(Pool.context(0), Fleet, Path)),
         Acceptor(Pool.context(0)), Tick(Pool.context(0)),
         Extra(std::move(Extra)) {}
@@ -202,7 +204,9 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
-        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
+        "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
+        "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
+        "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n");
   }
 
   // Accepts all waiting connections in one pass: with one connection a pass, a
@@ -346,6 +350,8 @@
   worker_pool &Pool;
   fleet_state Fleet;
   deadline_queue Deadlines;
+  std::shared_ptr<body_memory> RequestBodies;
+  std::shared_ptr<body_memory> AnswerBodies;
   upstream_pool Upstreams;
   metrics Metrics;
   decision_log Decisions{"ingress"};
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -140,6 +140,8 @@
     return "timed-out";
   case exchange_end::Malformed:
     return "malformed";
+  case exchange_end::TooLong:
+    return "too-long";
   case exchange_end::Cancelled:
     return "caller-left";
   }
@@ -177,6 +179,8 @@
   bool IsKnown = false; ///< it had answered for the object before
   unsigned Load = 0;    ///< requests that it ran or queued
   time_point SentAt{};  ///< start of the latest attempt
+  /** Of the endpoint's answer that is forwarded. */
+  std::shared_ptr<body_memory::holding> AnswerMemory;
 };
 
 request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
@@ -375,7 +379,8 @@
   Sent.erase(Entry);
   const bool IsSuspicious = Result.End == exchange_end::Lost ||
                             Result.End == exchange_end::TimedOut ||
-                            Result.End == exchange_end::Malformed;
+                            Result.End == exchange_end::Malformed ||
+                            Result.End == exchange_end::TooLong;
   // The failure probably affects the other connections to the endpoint as well.
   if (IsSuspicious)
     Upstreams.discard(EndpointRun);
@@ -505,6 +510,7 @@
     return;
   case exchange_end::Lost:
   case exchange_end::Malformed:
+  case exchange_end::TooLong:
   case exchange_end::TimedOut:
     Endpoint.addAnswer();
     if (!State.IsLateCounted && !Endpoint.isCold(Now))
@@ -634,7 +640,7 @@
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
     State.SentAt = Now;
-    const auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
+    auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
     State.LastEnd = Result.End;
     absl::StrAppend(&State.AttemptLog, State.AttemptLog.empty() ? "" : ",",
                     State.Endpoint, ":", outcomeName(Result));
@@ -667,7 +673,8 @@
           State.Version = Fleet.versionAfterFault(State.Service, State.Version);
           continue;
         }
-        co_return Result.Reply;
+        State.AnswerMemory = std::move(Result.Memory);
+        co_return std::move(Result.Reply);
       }
       State.Reason = IsNotRun ? "not-run" : "unproved";
       State.MayHaveRun = State.MayHaveRun || !IsNotRun;
@@ -678,7 +685,9 @@
           : refuse(State, 503, "endpoint-full", ShortRetrySeconds);
     }
     State.MayHaveRun = true;
-    State.Reason = Result.End == exchange_end::TimedOut ? "timed-out" : "lost";
+    State.Reason = Result.End == exchange_end::TimedOut  ? "timed-out"
+                   : Result.End == exchange_end::TooLong ? "too-long"
+                                                         : "lost";
     if (State.Route->Kind == request_kind::Idempotent &&
         mayRetry(State, true)) {
       State.Version = Fleet.versionAfterFault(State.Service, State.Version);
@@ -725,7 +734,7 @@
   co_return co_await send(State);
 }
 
-awaitable<http_reply> request_path::run(ingress_request Request) {
+awaitable<ingress_answer> request_path::run(ingress_request Request) {
   request_state State;
   State.Request = std::move(Request);
   const auto &Fields = Fleet.options().Fields;
@@ -734,7 +743,7 @@
   State.Host = findHeader(Message.Headers, "Host");
   State.Path = targetPath(Message.Target);
   if (State.RequestId.empty())
-    co_return refuse(State, 400, "no-request-id", 0);
+    co_return ingress_answer{refuse(State, 400, "no-request-id", 0), nullptr};
   // An unexpected error ends this request alone. It may have run.
   http_reply Reply = unknownOutcomeReply(State);
   ++InFlight;
@@ -766,7 +775,7 @@
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
   Log.write(MakeLine, boot_clock::now());
-  co_return Reply;
+  co_return ingress_answer{std::move(Reply), std::move(State.AnswerMemory)};
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -27,6 +27,14 @@
   std::function<void()> OnWait;
 };
 
+/** The answer for a caller. */
+struct ingress_answer {
+  http_reply Reply;
+  /** Counts the memory of the reply's body while it exists; null for replies of
+      the VM's own. */
+  std::shared_ptr<body_memory::holding> Memory;
+};
+
 /** Handles a request from arrival to answer: admits it, selects endpoints,
     sends it, and decides after a failure whether to retry.
 
@@ -39,7 +47,7 @@
                decision_log &Log);
 
   /** @returns the answer for the caller. */
-  awaitable<http_reply> run(ingress_request Request);
+  awaitable<ingress_answer> run(ingress_request Request);
 
   /** Ends the wait for all endpoints, so that callers get an answer before the
       VM ends. */
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -36,6 +36,12 @@
 // Bound on received bytes that are not yet part of an answer. An endpoint in
 // trouble may send an endless line; the body is bounded separately.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+// Sizes of a read, until the header is complete and after it. Most answers fit
+// the first one. The buffer is not counted with the bodies.
+constexpr std::size_t HeadReadBytes = 4 * 1024;
+constexpr std::size_t BodyReadBytes = 16 * 1024;
+
+using answer_parser = http::response_parser<http::string_body>;
 
 /** @returns the timeout in a Keep-Alive field in seconds, or 0. */
 int keepAliveSeconds(std::string_view Field) {
@@ -97,8 +103,10 @@
   bool IsReusable = false; ///< the last answer left it in a clean state
 };
 
-upstream_pool::upstream_pool(std::string Field, deadline_queue &Deadlines)
-    : RequestIdField(std::move(Field)), Deadlines(Deadlines) {}
+upstream_pool::upstream_pool(std::string Field, deadline_queue &Deadlines,
+                             std::shared_ptr<body_memory> Shared)
+    : RequestIdField(std::move(Field)), Deadlines(Deadlines),
+      Answers(std::move(Shared)) {}
 
 upstream_pool::connection_pointer
 upstream_pool::take(const std::string &Endpoint, std::string_view RequestId,
@@ -230,6 +238,76 @@
       });
 }
 
+namespace {
+
+/** Parses the bytes in @p Buffer.
+    @param Error  set when the message is invalid or there is no memory for it
+    @returns true when bytes were parsed */
+bool parse(answer_parser &Parser, boost::beast::flat_buffer &Buffer,
+           body_memory::holding &Memory, boost::system::error_code &Error) {
+  auto &Body = Parser.get().body();
+  // The parser itself reserves memory for a body of known length.
+  const bool MayGrow = Parser.is_header_done() && !Parser.content_length();
+  if (MayGrow && !Memory.reserve(Body, Buffer.size())) {
+    Error = asio::error::no_memory;
+    return false;
+  }
+  const std::size_t Used = Parser.put(Buffer.data(), Error);
+  Buffer.consume(Used);
+  if (Error == http::error::need_more)
+    Error = {};
+  if (Parser.is_header_done() && Parser.content_length())
+    Memory.setLengthKnown();
+  if (!Error && !Memory.resize(Body.size()))
+    Error = asio::error::no_memory;
+  // An endless line, as of a chunk's extension.
+  if (!Error && Used == 0 && Buffer.size() >= MaxUnparsedBytes)
+    Error = http::error::buffer_overflow;
+  return Used > 0;
+}
+
+/** Reads one message. Further bytes stay in @p Buffer. */
+awaitable<boost::system::error_code> read(tcp::socket &Socket,
+                                          boost::beast::flat_buffer &Buffer,
+                                          answer_parser &Parser,
+                                          body_memory::holding &Memory) {
+  boost::system::error_code Error;
+  Parser.eager(true);
+  for (;;) {
+    if (Buffer.size() > 0)
+      parse(Parser, Buffer, Memory, Error);
+    if (Error || Parser.is_done())
+      co_return Error;
+    const auto Wanted = Parser.is_header_done() ? BodyReadBytes : HeadReadBytes;
+    const std::size_t Bytes = co_await Socket.async_read_some(
+        Buffer.prepare(std::min(Wanted, MaxUnparsedBytes - Buffer.size())),
+        asio::redirect_error(asio::use_awaitable, Error));
+    Buffer.commit(Bytes);
+    if (Error == asio::error::eof && Parser.got_some()) {
+      Parser.put_eof(Error);
+      co_return Error;
+    }
+    if (Error == asio::error::eof)
+      co_return http::error::end_of_stream;
+    if (Error)
+      co_return Error;
+  }
+}
+
+/** @returns how an exchange ended whose answer could not be read. */
+exchange_end failedRead(const boost::system::error_code &Error) {
+  if (Error == asio::error::no_memory)
+    return exchange_end::TooLong;
+  const bool IsInvalidHttp =
+      Error.category() ==
+          http::make_error_code(http::error::bad_version).category() &&
+      Error != http::error::end_of_stream &&
+      Error != http::error::partial_message;
+  return IsInvalidHttp ? exchange_end::Malformed : exchange_end::Lost;
+}
+
+} // namespace
+
 awaitable<exchange_result>
 upstream_pool::readAnswer(connection_pointer Connection,
                           std::shared_ptr<const upstream_request> Request,
@@ -238,22 +316,24 @@
   Result.IsReused = IsReused;
   bool WasForeign = false;
   for (int Answer = 0; Answer <= MaxForeignAnswers; ++Answer) {
-    http::response_parser<http::string_body> Parser;
+    answer_parser Parser;
     Parser.body_limit(BodyBytes);
     Parser.skip(Request->IsHead);
-    boost::system::error_code Error;
-    co_await http::async_read(Connection->Socket, Connection->Buffer, Parser,
-                              asio::redirect_error(asio::use_awaitable, Error));
+    const auto Memory =
+        std::make_shared<body_memory::holding>(Answers, [Connection, &Parser] {
+          Connection->close();
+          std::string().swap(Parser.get().body());
+        });
+    auto Error =
+        co_await read(Connection->Socket, Connection->Buffer, Parser, *Memory);
+    if (Memory->isGivenUp())
+      Error = asio::error::no_memory;
     if (Error) {
-      const bool IsInvalidHttp =
-          Error.category() ==
-              http::make_error_code(http::error::bad_version).category() &&
-          Error != http::error::end_of_stream &&
-          Error != http::error::partial_message;
-      Result.End = IsInvalidHttp ? exchange_end::Malformed : exchange_end::Lost;
+      Result.End = failedRead(Error);
       Result.Detail = Error.message();
       co_return Result;
     }
+    Memory->setWhole();
     const auto &Message = Parser.get();
     // The head of a cut answer may continue with another answer.
     if (Message.count(RequestIdField) > 1) {
@@ -295,6 +375,7 @@
     Result.End = exchange_end::Answered;
     Result.HasRequestId = HasId;
     Result.Reply = fromBeast(Parser.release());
+    Result.Memory = Memory;
     co_return Result;
   }
   Result.End = exchange_end::Malformed;
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -3,6 +3,7 @@
 
 #include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/net/asio.h"
+#include "sesamepaddle/net/body_memory.h"
 #include "sesamepaddle/net/deadline_queue.h"
 #include "sesamepaddle/net/http_message.h"
 
@@ -71,6 +72,7 @@
   Withdrawn,    ///< nothing was sent: it was not wanted any more
   Lost,         ///< sent; the connection ended before the whole answer
   Malformed,    ///< sent; invalid response, or only for other requests
+  TooLong,      ///< sent; no memory is left for the answer
   TimedOut,     ///< sent; no answer before the deadline
   Cancelled,    ///< the caller disconnected; may have been sent
 };
@@ -81,6 +83,9 @@
   bool IsReused = false;     ///< an idle connection was used
   bool HasRequestId = false; ///< the answer has the id of its request
   http_reply Reply;
+  /** Counts the memory of the reply's body while it exists; null without an
+      answer. */
+  std::shared_ptr<body_memory::holding> Memory;
   std::string Detail; ///< of a failure, for people
 };
 
@@ -106,8 +111,10 @@
 class upstream_pool {
 public:
   /** @param RequestIdField  header field of an answer with its request's id
-      @param Deadlines  must outlive the pool */
-  upstream_pool(std::string RequestIdField, deadline_queue &Deadlines);
+      @param Deadlines  must outlive the pool
+      @param Answers  memory for the bodies of answers */
+  upstream_pool(std::string RequestIdField, deadline_queue &Deadlines,
+                std::shared_ptr<body_memory> Answers);
 
   /** Sends @p Request to @p Address.
       @param Endpoint  identifies one run of the endpoint's process;
@@ -156,6 +163,7 @@
 
   std::string RequestIdField;
   deadline_queue &Deadlines;
+  std::shared_ptr<body_memory> Answers;
   std::map<std::string, std::vector<connection_pointer>, std::less<>> Idle;
   std::size_t Opened = 0;
 };
--- a/tests/ingress/body_test.cpp
+++ b/tests/ingress/body_test.cpp
@@ -1,5 +1,5 @@
-#include "ingress/body_memory.h"
 #include "ingress/ingress_fixture.h"
+#include "sesamepaddle/net/body_memory.h"
 
 #include <doctest/doctest.h>
 
@@ -35,21 +35,6 @@
 
 } // namespace
 
-TEST_CASE("memory for bodies is limited for all requests together") {
-  body_memory Memory(100);
-  body_memory::holding First(Memory);
-  CHECK(First.resize(70));
-  {
-    body_memory::holding Second(Memory);
-    CHECK(Second.resize(30));
-    CHECK_FALSE(Second.resize(31));
-    CHECK(Memory.held() == 100);
-    CHECK(Second.resize(10));
-    CHECK(Memory.available() == 20);
-  }
-  CHECK(Memory.held() == 70);
-}
-
 TEST_CASE("a large body reaches its endpoint unchanged") {
   ingress_fixture Fixture({answerWhole});
   std::string Body(300'000, '\0');
--- a/tests/ingress/request_path_test.cpp
+++ b/tests/ingress/request_path_test.cpp
@@ -29,7 +29,8 @@
   Record.Service = service_name("orders");
   Fleet.endpoints().apply(Record, boot_clock::now());
   deadline_queue Deadlines(Context.get_executor());
-  upstream_pool Upstreams("Id", Deadlines);
+  const auto Answers = std::make_shared<body_memory>(1'000'000);
+  upstream_pool Upstreams("Id", Deadlines, Answers);
   metrics Metrics;
   decision_log Log("test");
   request_path Path(Fleet, Upstreams, Metrics, Log);
@@ -42,9 +43,9 @@
   std::optional<http_reply> Reply;
   bool HasThrown = false;
   asio::co_spawn(Context, Path.run(std::move(Request)),
-                 [&](const std::exception_ptr &Error, http_reply Answer) {
+                 [&](const std::exception_ptr &Error, ingress_answer Answer) {
                    HasThrown = Error != nullptr;
-                   Reply = std::move(Answer);
+                   Reply = std::move(Answer.Reply);
                  });
   Context.run();
   CHECK_FALSE(HasThrown);
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -107,11 +107,19 @@
       Socket->close();
       co_return;
     }
-    while (!Answer.EndlessBytes.empty() && !Error)
+    const bool IsEndless = !Answer.EndlessBytes.empty();
+    for (std::size_t Count = 0;
+         IsEndless && !Error && Count < Answer.MaxEndless; ++Count)
       co_await asio::async_write(
           *Socket, asio::buffer(Answer.EndlessBytes),
           asio::redirect_error(asio::use_awaitable, Error));
-    if (!Answer.EndlessBytes.empty())
+    while (IsEndless && !Error) {
+      std::array<char, 64> Ignored{};
+      co_await Socket->async_read_some(
+          asio::buffer(Ignored),
+          asio::redirect_error(asio::use_awaitable, Error));
+    }
+    if (IsEndless)
       ++Abandoned;
     if (!Answer.LateBytes.empty()) {
       co_await pause(LateBytesDelay);
--- a/tests/ingress/scripted_endpoint.h
+++ b/tests/ingress/scripted_endpoint.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
   std::chrono::milliseconds Delay{0}; ///< before the answer
   bool ResetsAfterBytes = false;      ///< resets it after Bytes
   std::string EndlessBytes{}; ///< written after Bytes until the VM closes
+  /** How often EndlessBytes are written; then it waits until the VM closes. */
+  std::size_t MaxEndless = std::numeric_limits<std::size_t>::max();
 };
 
 /** An endpoint that answers each request with the exact bytes that a test
--- a/tests/ingress/upstream_pool_test.cpp
+++ b/tests/ingress/upstream_pool_test.cpp
@@ -46,7 +46,8 @@
     return scripted_answer{makeAnswer(Request, "whole"), "", false, false,
                            milliseconds(0)};
   });
-  upstream_pool Pool("Id", Deadlines);
+  const auto Answers = std::make_shared<body_memory>(1'000'000);
+  upstream_pool Pool("Id", Deadlines, Answers);
   const auto Withdrawn =
       exchangeOnce(Context, Pool, Endpoint.address(), [] { return false; });
   CHECK(Withdrawn.End == exchange_end::Withdrawn);
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -20,6 +20,11 @@
   }
 }
 
+bool raw_connection::waitForBytes(std::chrono::milliseconds Limit) {
+  pollfd Wait{Socket.native_handle(), POLLIN, 0};
+  return ::poll(&Wait, 1, static_cast<int>(Limit.count())) > 0;
+}
+
 std::string raw_connection::readToEnd(std::chrono::milliseconds Limit) {
   const auto End = std::chrono::steady_clock::now() + Limit;
   std::string Text;
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -20,6 +20,10 @@
      the connection already. */
   void send(std::string_view Bytes);
 
+  /** Waits until bytes can be read or the connection has ended.
+      @returns false when @p Limit has passed before */
+  bool waitForBytes(std::chrono::milliseconds Limit);
+
   /** Reads until the server closes the connection or @p Limit has passed, and
       sets isClosed(). @returns the bytes read. */
   std::string readToEnd(std::chrono::milliseconds Limit);
