Replies of the store and of VMs are bounded all together

What could be seen: the same as with endpoints' answers, if the store or other VMs send many long replies or replies without an end at once. Each was bounded, not all of them. Not seen in a run of processes.

Change: http_client counts the bodies of replies that are arriving, 32 MiB for all, and gives up the largest one of unknown length first. A reply without a length is refused at its head instead of after its whole body.

--- a/include/sesamepaddle/net/http_client.h
+++ b/include/sesamepaddle/net/http_client.h
@@ -50,7 +50,9 @@
 */
 class http_client {
 public:
-  http_client();
+  /** @param MaxArrivingBytes  most bytes that the bodies of all replies that
+     are arriving may take together */
+  explicit http_client(std::size_t MaxArrivingBytes = 32 * 1024 * 1024);
   ~http_client();
   http_client(const http_client &) = delete;
   http_client &operator=(const http_client &) = delete;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "sesamepaddle/net/http_client.h"
 
+#include "sesamepaddle/net/body_memory.h"
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_server.h"
 
@@ -120,9 +121,15 @@
 
 } // namespace
 
-/** Idle connections and recent reply times, by server. */
+/** Idle connections and recent reply times, by server, and the memory of the
+    replies that are arriving. */
 class http_client::connection_pool {
 public:
+  explicit connection_pool(std::size_t MaxArrivingBytes)
+      : Arriving(std::make_shared<body_memory>(MaxArrivingBytes)) {}
+
+  const std::shared_ptr<body_memory> Arriving;
+
   /** Removes an idle connection that appears to be usable from the pool.
       @returns the connection, or nullptr. */
   std::unique_ptr<pooled_connection> take(const tcp::endpoint &Server) {
@@ -197,6 +204,7 @@
   steady::time_point FirstByteDeadline; ///< for sending and the reply header
   steady::time_point Deadline;
   const http_call_options &Options;
+  std::shared_ptr<body_memory> Arriving;
 
   /** Opens a new connection. */
   awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>>
@@ -211,10 +219,12 @@
   /** Reads what follows the header of a reply. */
   awaitable<beast::error_code> readBody(beast::tcp_stream &Stream,
                                         beast::flat_buffer &Buffer,
-                                        reply_parser &Parser) const;
+                                        reply_parser &Parser,
+                                        body_memory::holding &Memory) const;
 };
 
-http_client::http_client() : Pool(std::make_shared<connection_pool>()) {}
+http_client::http_client(std::size_t MaxArrivingBytes)
+    : Pool(std::make_shared<connection_pool>(MaxArrivingBytes)) {}
 
 http_client::~http_client() = default;
 
@@ -242,21 +252,27 @@
 
 awaitable<beast::error_code>
 http_client::attempt::readBody(beast::tcp_stream &Stream,
-                               beast::flat_buffer &Buffer,
-                               reply_parser &Parser) const {
-  beast::error_code Error;
-  if (Options.StallTimeout.count() == 0) {
-    Stream.expires_at(Deadline);
-    co_await http::async_read(Stream, Buffer, Parser,
-                              asio::redirect_error(asio::use_awaitable, Error));
-    co_return Error;
-  }
+                               beast::flat_buffer &Buffer, reply_parser &Parser,
+                               body_memory::holding &Memory) const {
+  auto &Body = Parser.get().body();
+  const bool IsLengthKnown = Parser.content_length().has_value();
+  if (IsLengthKnown)
+    Memory.setLengthKnown();
   const auto End = steady::now() + Options.MaxBodyTime;
+  beast::error_code Error;
   while (!Error && !Parser.is_done()) {
-    Stream.expires_at(std::min(End, steady::now() + Options.StallTimeout));
+    // The parser itself reserves memory for a body of known length.
+    if (!IsLengthKnown && !Memory.reserve(Body, MaxUnparsedBytes))
+      co_return http::error::body_limit;
+    Stream.expires_at(
+        Options.StallTimeout.count() == 0
+            ? Deadline
+            : std::min(End, steady::now() + Options.StallTimeout));
     co_await http::async_read_some(
         Stream, Buffer, Parser,
         asio::redirect_error(asio::use_awaitable, Error));
+    if (Memory.isGivenUp() || !Memory.resize(Body.size()))
+      co_return http::error::body_limit;
   }
   co_return Error;
 }
@@ -279,23 +295,28 @@
   reply_parser Parser;
   Parser.body_limit(Options.BodyBytes);
   Parser.skip(Request.Method == "HEAD");
+  body_memory::holding Memory(Arriving, [&Stream, &Parser] {
+    Stream.close();
+    std::string().swap(Parser.get().body());
+  });
   Stream.expires_at(FirstByteDeadline);
   co_await http::async_read_header(
       Stream, Buffer, Parser, asio::redirect_error(asio::use_awaitable, Error));
   if (!Error && Options.OnHeader)
     Options.OnHeader();
+  // Without a length, a complete reply can't be distinguished from a truncated
+  // one.
+  if (!Error && !hasKnownLength(Parser, Request.Method))
+    co_return makeFailure(net_failure::MalformedMessage,
+                          formatEndpoint(Server) + ": reply without a length");
   if (!Error)
-    Error = co_await readBody(Stream, Buffer, Parser);
+    Error = co_await readBody(Stream, Buffer, Parser, Memory);
   if (Error)
     co_return makeFailure(classifyReplyError(Error),
                           absl::StrCat(formatEndpoint(Server), ": ",
                                        Error.message(), ", ",
                                        describeProgress(Parser)));
-  // Without a length, a complete reply can't be distinguished from a truncated
-  // one.
-  if (!hasKnownLength(Parser, Request.Method))
-    co_return makeFailure(net_failure::MalformedMessage,
-                          formatEndpoint(Server) + ": reply without a length");
+  Memory.setWhole();
   const bool IsReusable = Parser.get().keep_alive() && Buffer.size() == 0;
   if (IsReusable) {
     Stream.expires_never();
@@ -310,8 +331,12 @@
   // The client may be destroyed while the call is suspended.
   const auto KeptPool = Pool;
   const auto Start = steady::now();
-  attempt Attempt{Server, Request, Start + Options.Timeout,
-                  Start + Options.Timeout, Options};
+  attempt Attempt{Server,
+                  Request,
+                  Start + Options.Timeout,
+                  Start + Options.Timeout,
+                  Options,
+                  KeptPool->Arriving};
   std::unique_ptr<pooled_connection> Reused;
   if (Options.Connection != connection_choice::Fresh)
     Reused = KeptPool->take(Server);
