Retry decisions and attempts by service are in the log and the metrics

A request's line has these figures when a retry was decided; the metrics count requests, retries, refused retries and attempts of which no byte was sent, by service. No logic changes.

--- a/include/sesamepaddle/admission/attempt_budget.h
+++ b/include/sesamepaddle/admission/attempt_budget.h
@@ -5,8 +5,9 @@
 #include "sesamepaddle/core/identifiers.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
-#include <unordered_map>
+#include <map>
 
 namespace sesamepaddle {
 
@@ -18,6 +19,23 @@
   std::chrono::milliseconds Window{10'000};
 };
 
+/** Whether a retry is allowed, and the figures that decided it. */
+struct retry_decision {
+  bool IsAllowed = false;
+  std::size_t Retries = 0; ///< of this VM in the window, before this one
+  double MaxRetries = 0;   ///< of this VM in the window
+  std::size_t Vms = 0;     ///< number of VMs that share the slack
+};
+
+/** Counts since the start of the process, for one service. */
+struct attempt_totals {
+  std::uint64_t Requests = 0;
+  std::uint64_t Retries = 0;        ///< allowed
+  std::uint64_t RefusedRetries = 0; ///< for lack of budget
+  std::uint64_t Unconnected = 0;    ///< attempts that got no connection
+  std::uint64_t Withdrawn = 0; ///< not sent on the connection that was opened
+};
+
 /** Limits the retries of this VM to each service in a sliding window.
 
     The limit of the fleet is the sum of a part that is proportional to the
@@ -30,17 +48,28 @@
   void addRequest(const service_name &Service, time_point Now);
 
   /** Counts a retry if the window has room for it.
-      @param Vms  number of VMs that share the slack
-      @returns true when the retry is allowed */
-  bool takeRetry(const service_name &Service, const attempt_limits &Limits,
-                 std::size_t Vms, time_point Now);
+      @param Vms  number of VMs that share the slack */
+  retry_decision takeRetry(const service_name &Service,
+                           const attempt_limits &Limits, std::size_t Vms,
+                           time_point Now);
+
+  /** Counts an attempt of which no byte was sent. It uses none of the budget.
+      @param WasConnected  false when there was no connection */
+  void addUnsent(const service_name &Service, bool WasConnected);
+
+  /** Calls @p Visit(service_name, attempt_totals) for each service. */
+  template <typename Visitor> void forEach(Visitor Visit) const {
+    for (const auto &[Service, Window] : Windows)
+      Visit(Service, Window.Totals);
+  }
 
 private:
   struct window {
     std::deque<time_point> Requests;
     std::deque<time_point> Retries;
+    attempt_totals Totals;
   };
-  std::unordered_map<service_name, window> Windows;
+  std::map<service_name, window> Windows;
 };
 
 } // namespace sesamepaddle
--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -21,26 +21,41 @@
 } // namespace
 
 void attempt_budget::addRequest(const service_name &Service, time_point Now) {
-  auto &Requests = Windows[Service].Requests;
+  auto &Window = Windows[Service];
+  ++Window.Totals.Requests;
+  auto &Requests = Window.Requests;
   if (Requests.size() >= MaxCountedRequests)
     Requests.pop_front();
   Requests.push_back(Now);
 }
 
-bool attempt_budget::takeRetry(const service_name &Service,
-                               const attempt_limits &Limits, std::size_t Vms,
-                               time_point Now) {
+retry_decision attempt_budget::takeRetry(const service_name &Service,
+                                         const attempt_limits &Limits,
+                                         std::size_t Vms, time_point Now) {
   auto &Window = Windows[Service];
   dropBefore(Window.Requests, Now - Limits.Window);
   dropBefore(Window.Retries, Now - Limits.Window);
-  const double MaxRetries =
+  retry_decision Decision;
+  Decision.Retries = Window.Retries.size();
+  Decision.Vms = std::max<std::size_t>(Vms, 1);
+  Decision.MaxRetries =
       UsedFraction *
       (Limits.Ratio * static_cast<double>(Window.Requests.size()) +
-       Limits.Slack / static_cast<double>(std::max<std::size_t>(Vms, 1)));
-  if (static_cast<double>(Window.Retries.size()) + 1 > MaxRetries)
-    return false;
-  Window.Retries.push_back(Now);
-  return true;
+       Limits.Slack / static_cast<double>(Decision.Vms));
+  Decision.IsAllowed =
+      static_cast<double>(Decision.Retries) + 1 <= Decision.MaxRetries;
+  if (Decision.IsAllowed) {
+    Window.Retries.push_back(Now);
+    ++Window.Totals.Retries;
+  } else {
+    ++Window.Totals.RefusedRetries;
+  }
+  return Decision;
+}
+
+void attempt_budget::addUnsent(const service_name &Service, bool WasConnected) {
+  auto &Totals = Windows[Service].Totals;
+  ++(WasConnected ? Totals.Withdrawn : Totals.Unconnected);
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -202,7 +202,26 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
-        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
+        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n",
+        attemptMetricsText());
+  }
+
+  std::string attemptMetricsText() {
+    std::string Text;
+    Fleet.attempts().forEach(
+        [&](const service_name &Service, const attempt_totals &Totals) {
+          const auto Add = [&](std::string_view Kind, std::uint64_t Count) {
+            absl::StrAppend(&Text, "sesamepaddle_attempts{service=\"",
+                            Service.str(), "\",kind=\"", toAbsl(Kind), "\"} ",
+                            Count, "\n");
+          };
+          Add("request", Totals.Requests);
+          Add("retry", Totals.Retries);
+          Add("refused_retry", Totals.RefusedRetries);
+          Add("no_connection", Totals.Unconnected);
+          Add("withdrawn", Totals.Withdrawn);
+        });
+    return Text;
   }
 
   // Accepts all waiting connections in one pass: with one connection a pass, a
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -172,6 +172,7 @@
   bool IsLateCounted = false;
   std::string Reason;     ///< of the answer, for the log
   std::string AttemptLog; ///< endpoint and outcome of each attempt, for the log
+  std::string RetryLog;   ///< figures of the latest retry decision, for the log
   // For the log: the latest endpoint, and why it was chosen.
   std::string Endpoint;
   bool IsKnown = false; ///< it had answered for the object before
@@ -301,9 +302,14 @@
     State.Reason += "+no-attempts";
     return false;
   }
-  if (!Fleet.attempts().takeRetry(State.Service,
-                                  Fleet.options().Bounds.Attempts,
-                                  Fleet.sharingVms(), boot_clock::now())) {
+  const auto Decision =
+      Fleet.attempts().takeRetry(State.Service, Fleet.options().Bounds.Attempts,
+                                 Fleet.sharingVms(), boot_clock::now());
+  State.RetryLog = absl::StrCat(
+      " retries=", Decision.Retries, " max_retries=", Decision.MaxRetries,
+      " sharing_vms=", Decision.Vms,
+      " up_ms=", toMilliseconds(Fleet.uptime(boot_clock::now())));
+  if (!Decision.IsAllowed) {
     State.Reason += "+no-budget";
     return false;
   }
@@ -647,6 +653,8 @@
     if (Result.End == exchange_end::NotConnected ||
         Result.End == exchange_end::Withdrawn) {
       State.Reason = outcomeName(Result);
+      Fleet.attempts().addUnsent(State.Service,
+                                 Result.End == exchange_end::Withdrawn);
       if (mayRetry(State, false))
         continue;
       co_return State.MayHaveRun
@@ -762,7 +770,7 @@
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
         " load=", State.Load, " attempts=", State.SentAttempts,
         " unreached=", State.Unreached, " tried=", State.AttemptLog,
-        " ms=", toMilliseconds(Took),
+        State.RetryLog, " ms=", toMilliseconds(Took),
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
   Log.write(MakeLine, boot_clock::now());
--- a/tests/admission/attempt_budget_test.cpp
+++ b/tests/admission/attempt_budget_test.cpp
@@ -25,7 +25,7 @@
       auto &Budget = Budgets[Random() % Vms];
       Budget.addRequest(Orders, Now);
       Requests.push_back(Now);
-      if (Budget.takeRetry(Orders, Limits, Vms, Now))
+      if (Budget.takeRetry(Orders, Limits, Vms, Now).IsAllowed)
         Retries.push_back(Now);
     }
     CHECK_FALSE(Retries.empty());
@@ -42,12 +42,14 @@
   }
 
   SUBCASE("the slack allows a few retries without any request") {
-    CHECK(Budgets[0].takeRetry(Orders, Limits, Vms, Start));
+    CHECK(Budgets[0].takeRetry(Orders, Limits, Vms, Start).IsAllowed);
   }
 
   SUBCASE("retries to one service do not use the budget of another") {
-    while (Budgets[0].takeRetry(Orders, Limits, Vms, Start)) {
+    while (Budgets[0].takeRetry(Orders, Limits, Vms, Start).IsAllowed) {
     }
-    CHECK(Budgets[0].takeRetry(service_name("other"), Limits, Vms, Start));
+    CHECK(Budgets[0]
+              .takeRetry(service_name("other"), Limits, Vms, Start)
+              .IsAllowed);
   }
 }
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -248,9 +248,11 @@
     std::size_t Retries = 0;
     for (auto &Vm : Fleet)
       for (int Retry = 0; Retry < 20; ++Retry)
-        Retries +=
-            Vm.attempts().takeRetry(Orders, Limits, Vm.sharingVms(), Start) ? 1
-                                                                            : 0;
+        Retries += Vm.attempts()
+                           .takeRetry(Orders, Limits, Vm.sharingVms(), Start)
+                           .IsAllowed
+                       ? 1
+                       : 0;
     CHECK(static_cast<double>(Retries) <= Limits.Slack);
   }
 }
