The requests of two windows do not allow more retries than one window's

Cause: each VM may retry by the requests of the window before. Over all VMs the retries of one window may be due to the requests of two, the one before it at some VMs and the window itself at others. With 0.6 of the ratio used that is 1.2 times the ratio; the fixed part of the slack that was left over covers it only in small fleets.

The ratio is used to one half: two windows then allow no more than the larger of them, whatever way the requests take. The slack is unchanged here.

--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -6,10 +6,12 @@
 
 namespace {
 
-// Fraction of the fleet's limit that is used. The rest is a safety margin: the
-// windows of the VMs are not aligned with the window that is checked, and a VM
-// may be replaced within it.
-constexpr double UsedFraction = 0.6;
+// Fractions of the fleet's limit that are used. The retries of all VMs in one
+// window may be due to requests of two: those of the window before at one VM,
+// those of the window itself at another.
+constexpr double UsedRatio = 0.5;
+// A VM may be replaced within a window.
+constexpr double UsedSlack = 0.6;
 // Bounds the memory of a window. Further requests do not allow more retries.
 constexpr std::size_t MaxCountedRequests = 20'000;
 
@@ -39,9 +41,8 @@
   Decision.Retries = Window.Retries.size();
   Decision.Vms = std::max<std::size_t>(Vms, 1);
   Decision.MaxRetries =
-      UsedFraction *
-      (Limits.Ratio * static_cast<double>(Window.Requests.size()) +
-       Limits.Slack / static_cast<double>(Decision.Vms));
+      UsedRatio * Limits.Ratio * static_cast<double>(Window.Requests.size()) +
+      UsedSlack * Limits.Slack / static_cast<double>(Decision.Vms);
   Decision.IsAllowed =
       static_cast<double>(Decision.Retries) + 1 <= Decision.MaxRetries;
   if (Decision.IsAllowed) {
