A process earns its part of the slack of retries over its first window

Cause: a new process does not know the retries of those before it, and had a whole part of the slack at once. With all VMs restarting every 2 s the parts of up to five processes of each VM add up in one window.

A process now gets 0.3 of its part of the slack over its first window, growing with its age, and 0.7 from then on. The ages of all processes that a VM starts in a window add up to one window at most, so that all of them and the one before have one part together, however often they restart. The requests of a window are divided among the processes, so the ratio needs nothing more. The steady part grows from 0.6 to 0.7.

The fixture of test_ingress gets a slack that also suffices just after a start: its cases are about retries that the budget allows.

--- a/include/sesamepaddle/admission/attempt_budget.h
+++ b/include/sesamepaddle/admission/attempt_budget.h
@@ -40,10 +40,15 @@
 
     The limit of the fleet is the sum of a part that is proportional to the
     requests and a fixed slack. Each VM may use the part that results from its
-    own requests and an equal share of the slack.
+    own requests and an equal share of the slack. A process does not know the
+    retries of those that its VM had before, so its share of the slack grows
+    from nothing during its first window.
 */
 class attempt_budget {
 public:
+  /** @param StartedAt  start of the process */
+  explicit attempt_budget(time_point StartedAt) : StartedAt(StartedAt) {}
+
   /** Counts a request for @p Service. */
   void addRequest(const service_name &Service, time_point Now);
 
@@ -69,6 +74,7 @@
     std::deque<time_point> Retries;
     attempt_totals Totals;
   };
+  time_point StartedAt;
   std::map<service_name, window> Windows;
 };
 
--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -10,11 +10,24 @@
 // window may be due to requests of two: those of the window before at one VM,
 // those of the window itself at another.
 constexpr double UsedRatio = 0.5;
-// A VM may be replaced within a window.
-constexpr double UsedSlack = 0.6;
+constexpr double UsedSlack = 0.7;
+// The same for the first window of a process, of which it gets a part that
+// grows with its age: the processes that a VM had before may have used
+// UsedSlack in the same window, and the ages of later ones add up to one window
+// at most.
+constexpr double UsedSlackAtStart = 0.3;
 // Bounds the memory of a window. Further requests do not allow more retries.
 constexpr std::size_t MaxCountedRequests = 20'000;
 
+/** @returns the fraction of its share of the slack that a process of @p Age may
+    use. */
+double usedSlack(duration Age, duration Window) {
+  if (Age >= Window)
+    return UsedSlack;
+  using seconds = std::chrono::duration<double>;
+  return UsedSlackAtStart * std::max(0.0, seconds(Age) / seconds(Window));
+}
+
 void dropBefore(std::deque<time_point> &Times, time_point Start) {
   while (!Times.empty() && Times.front() < Start)
     Times.pop_front();
@@ -42,7 +55,8 @@
   Decision.Vms = std::max<std::size_t>(Vms, 1);
   Decision.MaxRetries =
       UsedRatio * Limits.Ratio * static_cast<double>(Window.Requests.size()) +
-      UsedSlack * Limits.Slack / static_cast<double>(Decision.Vms);
+      usedSlack(Now - StartedAt, Limits.Window) * Limits.Slack /
+          static_cast<double>(Decision.Vms);
   Decision.IsAllowed =
       static_cast<double>(Decision.Retries) + 1 <= Decision.MaxRetries;
   if (Decision.IsAllowed) {
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -116,7 +116,7 @@
           Options.Vm.Name.str(),
           placeOf(Options.Places, Options.Vm.Region, Options.Vm.FailureDomain),
           quotaPlaces(Options)),
-      StartedAt(boot_clock::now()),
+      Attempts(boot_clock::now()), StartedAt(boot_clock::now()),
       Random(static_cast<std::uint64_t>(Options.Vm.Incarnation)) {}
 
 bool fleet_state::setConfiguration(configuration_pointer Newer) {
--- a/tests/admission/attempt_budget_test.cpp
+++ b/tests/admission/attempt_budget_test.cpp
@@ -14,7 +14,9 @@
   const attempt_limits Limits;
   const time_point Start = time_point(std::chrono::hours(1));
   constexpr std::size_t Vms = 10;
-  std::vector<attempt_budget> Budgets(Vms);
+  // Processes that have run for a window.
+  std::vector<attempt_budget> Budgets(Vms,
+                                      attempt_budget(Start - Limits.Window));
   std::vector<time_point> Requests;
   std::vector<time_point> Retries;
   std::mt19937 Random(7);
--- a/tests/admission/retry_fleet.cpp
+++ b/tests/admission/retry_fleet.cpp
@@ -14,7 +14,7 @@
 
 void retry_fleet::grow(std::size_t Count) {
   while (Vms.size() < Count)
-    Vms.push_back({});
+    Vms.emplace_back(Now);
 }
 
 double retry_fleet::draw() {
@@ -70,7 +70,7 @@
   });
 }
 
-void retry_fleet::restart(std::size_t Vm) { Vms[Vm] = {}; }
+void retry_fleet::restart(std::size_t Vm) { Vms[Vm] = vm(Now); }
 
 void retry_fleet::restartAll() {
   for (std::size_t Vm = 0; Vm < Vms.size(); ++Vm)
--- a/tests/admission/retry_fleet.h
+++ b/tests/admission/retry_fleet.h
@@ -57,6 +57,8 @@
 
 private:
   struct vm {
+    explicit vm(time_point StartedAt) : Budget(StartedAt) {}
+
     attempt_budget Budget;
     std::vector<time_point> Failing; ///< when attempts in progress will fail
     std::size_t Waiting = 0;         ///< requests that came during a pause
--- a/tests/ingress/ingress_fixture.cpp
+++ b/tests/ingress/ingress_fixture.cpp
@@ -19,6 +19,8 @@
                     "Expected", "Proof",  "Not-Run",  "Load", "Leaving"};
   Options.Paths = {"/ready", "/directory", "/metrics"};
   Options.Bounds.GracePeriod = std::chrono::milliseconds(6'000);
+  // More than any test retries, also at once after the start.
+  Options.Bounds.Attempts.Slack = 1e9;
   return Options;
 }
 
