Connections that end with an answer unfinished are counted and logged

A connection that was closed in the middle of an answer left no trace: the request was logged as answered, whoever ended the connection.

sesamepaddle_answers_unfinished counts by cause: the caller closed or reset, took too long, the VM's grace period was over, an error. A line names request, cause and bytes left, as the kernel's send queue has them. A stop logs how many are left at its end.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -1,5 +1,8 @@
 #include "ingress/caller_session.h"
 
+#include "sesamepaddle/core/text.h"
+#include "sesamepaddle/net/send_queue.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <boost/asio/write.hpp>
@@ -33,6 +36,15 @@
 // reply.
 constexpr std::chrono::milliseconds LingerTimeout{300};
 
+/** Removes the first @p Count bytes of @p Buffers. */
+void consume(std::array<asio::const_buffer, 2> &Buffers, std::size_t Count) {
+  for (auto &Part : Buffers) {
+    const auto Done = std::min(Count, Part.size());
+    Part += Done;
+    Count -= Done;
+  }
+}
+
 std::string_view reasonPhrase(unsigned Status) {
   const auto Reason = http::obsolete_reason(static_cast<http::status>(Status));
   return {Reason.data(), Reason.size()};
@@ -64,6 +76,8 @@
     }
     KeepAlive = co_await serveOne(Incoming);
   }
+  if (IsClosed)
+    noteUnfinished(causeOfEnd());
   boost::system::error_code Ignored;
   if (!IsClosed)
     Socket.shutdown(tcp::socket::shutdown_both, Ignored);
@@ -88,7 +102,7 @@
   if (Error == asio::error::operation_aborted)
     co_return false;
   if (Error) {
-    IsClosed = true;
+    noteEnd(Error);
     co_return true;
   }
   Buffer.commit(asio::buffer_copy(Buffer.prepare(Bytes),
@@ -106,10 +120,46 @@
     Buffer.commit(Bytes);
     if (Error == asio::error::would_block || Error == asio::error::try_again)
       return;
-    IsClosed = Error.failed();
+    if (Error)
+      noteEnd(Error);
   }
 }
 
+void caller_session::noteEnd(const boost::system::error_code &Error) {
+  IsClosed = true;
+  IsReset = IsReset || Error == asio::error::connection_reset;
+}
+
+unfinished_cause caller_session::causeOfEnd() const {
+  if (IsStalled)
+    return unfinished_cause::CallerStalled;
+  return IsReset ? unfinished_cause::CallerReset
+                 : unfinished_cause::CallerClosed;
+}
+
+std::size_t caller_session::unacknowledgedBytes() {
+  return Unwritten + sendQueueBytes(Socket);
+}
+
+bool caller_session::hasUnfinishedAnswer() {
+  return !IsUnfinishedNoted && (IsServing || unacknowledgedBytes() > 0);
+}
+
+void caller_session::noteUnfinished(unfinished_cause Cause) {
+  if (!hasUnfinishedAnswer())
+    return;
+  IsUnfinishedNoted = true;
+  Context->Unfinished.add(Cause);
+  // The log of requests names callers that left before their answer.
+  const bool HasLeft = Cause == unfinished_cause::CallerClosed ||
+                       Cause == unfinished_cause::CallerReset;
+  if (IsServing && HasLeft)
+    return;
+  Context->Log.warn(absl::StrCat(
+      "answer unfinished cause=", nameOf(Cause), " request=", RequestId,
+      " is_written=", !IsServing, " bytes_left=", unacknowledgedBytes()));
+}
+
 // Only a read shows that the caller has disconnected.
 void caller_session::watch() {
   if (IsClosed || Buffer.size() >= MaxBuffered)
@@ -270,6 +320,9 @@
     if (!IsWatching)
       watch();
   };
+  RequestId = findHeader(Request.Message.Headers,
+                         Context->Fleet.options().Fields.RequestId);
+  IsServing = true;
   const bool IsHead = Request.Message.Method == "HEAD";
   const bool WantsKeepAlive = Message.keep_alive();
   const http_reply Reply = co_await Context->Path.run(std::move(Request));
@@ -300,27 +353,41 @@
                                                asio::buffer(Reply.Body)};
   if (!HasBody || IsHead)
     Buffers[1] = {};
+  IsServing = false;
+  Unwritten = asio::buffer_size(Buffers);
   // Most answers fit the socket's buffer.
   boost::system::error_code Error;
-  std::size_t Written = Socket.write_some(Buffers, Error);
-  if (Written == asio::buffer_size(Buffers))
-    co_return true;
-  if (Error && Error != asio::error::would_block &&
-      Error != asio::error::try_again)
-    co_return false;
-  for (auto &Part : Buffers) {
-    const auto Done = std::min(Written, Part.size());
-    Part += Done;
-    Written -= Done;
+  const std::size_t Written = Socket.write_some(Buffers, Error);
+  Unwritten -= Written;
+  if (Error == asio::error::would_block || Error == asio::error::try_again)
+    Error = {};
+  if (Unwritten > 0 && !Error) {
+    consume(Buffers, Written);
+    Error = co_await writeRest(Buffers);
   }
+  if (!Error)
+    co_return true;
+  noteEnd(Error);
+  noteUnfinished(causeOfEnd());
+  co_return false;
+}
+
+awaitable<boost::system::error_code>
+caller_session::writeRest(std::array<asio::const_buffer, 2> Buffers) {
   const auto Timer =
       Context->Deadlines.add(boot_clock::now() + WriteTimeout, [this] {
+        IsStalled = true;
         boost::system::error_code Ignored;
         Socket.close(Ignored);
       });
-  co_await asio::async_write(Socket, Buffers,
-                             asio::redirect_error(asio::use_awaitable, Error));
-  co_return !Error;
+  boost::system::error_code Error;
+  while (Unwritten > 0 && !Error) {
+    const std::size_t Written = co_await Socket.async_write_some(
+        Buffers, asio::redirect_error(asio::use_awaitable, Error));
+    Unwritten -= Written;
+    consume(Buffers, Written);
+  }
+  co_return Error;
 }
 
 awaitable<void> caller_session::refuse(read_end End) {
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -4,8 +4,10 @@
 #include "ingress/body_memory.h"
 #include "ingress/loop_monitor.h"
 #include "ingress/request_path.h"
+#include "ingress/unfinished_answers.h"
 #include "sesamepaddle/net/asio.h"
 #include "sesamepaddle/net/deadline_queue.h"
+#include "sesamepaddle/telemetry/log.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -23,7 +25,9 @@
   deadline_queue &Deadlines;
   std::shared_ptr<loop_monitor> Monitor;
   body_memory Bodies;
-  std::size_t Open = 0;       ///< sessions that exist
+  std::size_t Open = 0; ///< sessions that exist
+  unfinished_answers Unfinished{};
+  component_log Log{"caller"};
   bool IsClosingIdle = false; ///< the VM is draining: closes idle connections
 };
 
@@ -45,6 +49,12 @@
   /** Makes an idle session check session_context::IsClosingIdle. */
   void wake();
 
+  /** @returns true while a request has been read whose caller has not received
+      all of its answer. */
+  bool hasUnfinishedAnswer();
+  /** Counts and logs an unfinished answer, if there is one. */
+  void noteUnfinished(unfinished_cause Cause);
+
 private:
   /** How reading a request ended. */
   enum class read_end : std::uint8_t {
@@ -85,6 +95,15 @@
   read_end parseBuffer(incoming &Incoming, bool &HasProgress);
   /** Answers one request. @returns true when the connection may be kept */
   awaitable<bool> serveOne(incoming &Incoming);
+  /** Sends the rest of an answer. @returns why it ended early, if it did */
+  awaitable<boost::system::error_code>
+  writeRest(std::array<boost::asio::const_buffer, 2> Buffers);
+  /** Notes that the connection ended with @p Error. */
+  void noteEnd(const boost::system::error_code &Error);
+  /** @returns why an answer is not finished after a failed read or write. */
+  unfinished_cause causeOfEnd() const;
+  /** @returns bytes of the answer that the caller has not acknowledged. */
+  std::size_t unacknowledgedBytes();
   /** @returns true when the whole reply was written in time. */
   awaitable<bool> write(const http_reply &Reply, bool KeepAlive, bool IsHead);
   /** Sends the error reply for @p End, if it has one. */
@@ -103,11 +122,18 @@
   boost::beast::flat_buffer Buffer;
   std::shared_ptr<cancel_source> Cancel; ///< of the current request
   time_point OpenedAt = boot_clock::now();
+  std::string RequestId; ///< of the latest request that was read
+  std::size_t Unwritten =
+      0;                    ///< bytes of the answer, not in the socket's buffer
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
   bool IsIdle = false; ///< waits for the first byte of a request
   bool IsNew = true;   ///< no request has begun yet
   bool IsClosed = false;
+  bool IsReset = false;   ///< the caller reset the connection
+  bool IsStalled = false; ///< the caller took too long for its answer
+  bool IsServing = false; ///< a request has been read and is not answered
+  bool IsUnfinishedNoted = false; ///< noteUnfinished() has counted the answer
 };
 
 } // namespace sesamepaddle
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -193,6 +193,7 @@
     return absl::StrCat(
         Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
         "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
+        "\nsesamepaddle_answers_in_progress ", countUnfinished(),
         "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
         "\nsesamepaddle_endpoint_connections_idle ",
         Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
@@ -202,7 +203,8 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
-        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
+        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n",
+        Sessions->Unfinished.prometheusText());
   }
 
   // Accepts all waiting connections in one pass: with one connection a pass, a
@@ -248,9 +250,11 @@
     OpenSessions.push_back(Session);
     asio::co_spawn(Pool.context(0), Session->run(),
                    [this, Session](const std::exception_ptr &Error) {
-                     if (Error)
-                       Log.error("connection ended error=" +
-                                 describeException(Error));
+                     if (!Error)
+                       return;
+                     Log.error("connection ended error=" +
+                               describeException(Error));
+                     Session->noteUnfinished(unfinished_cause::Failed);
                    });
   }
 
@@ -321,6 +325,17 @@
         absl::StrCat("limits fraction=", Fraction, " vms=", Fleet.vmCount()));
   }
 
+  /** @returns the number of requests whose callers have not received all of
+      their answers. */
+  std::size_t countUnfinished() const {
+    std::size_t Count = 0;
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock();
+          Session && Session->hasUnfinishedAnswer())
+        ++Count;
+    return Count;
+  }
+
   // Idle connections are closed when callers no longer use this VM's address.
   // Requests in flight have the rest of the grace period to finish.
   void advanceDrain(time_point Now) {
@@ -338,7 +353,11 @@
     if (!IsQuiet && Now < Stop.end())
       return;
     Log.info(absl::StrCat("drained requests=", Path.inFlight(),
-                          " connections=", Sessions->Open));
+                          " connections=", Sessions->Open,
+                          " answers_unfinished=", countUnfinished()));
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock())
+        Session->noteUnfinished(unfinished_cause::VmEnded);
     Gossip->stop();
     std::exchange(OnDrained, nullptr)();
   }
