A planned stop waits for callers that are still taking their answers

Cause: the drain waited for requests without an answer (request_path::inFlight). An answer that is being written and a request that is being read count nowhere, although only the session knows whether its caller is done. The process ended in the middle of them. Ruled out: the schedule, whose end is right.

The end of the grace period bounds it as before. What the other servers of the VM still answer counts too.

--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -301,8 +301,7 @@
         Upstreams.sweep(Now);
       std::erase_if(OpenSessions,
                     [](const auto &Entry) { return Entry.expired(); });
-      if (Fleet.isStopping() && OnDrained)
-        advanceDrain(Now);
+      advanceDrain(Now);
     }
   }
 
@@ -336,9 +335,22 @@
     return Count;
   }
 
+  /** @returns true when all connections have ended, and with them all requests
+      and answers. */
+  bool isQuiet() const {
+    const bool AreServersBusy =
+        std::any_of(Servers.begin(), Servers.end(), [](const auto &Server) {
+          return Server->requestsInFlight() > 0;
+        });
+    return Sessions->Open == 0 && Path.inFlight() == 0 && !AreServersBusy;
+  }
+
   // Idle connections are closed when callers no longer use this VM's address.
-  // Requests in flight have the rest of the grace period to finish.
+  // Requests in flight and callers that take their answers have the rest of the
+  // grace period to finish.
   void advanceDrain(time_point Now) {
+    if (!OnDrained)
+      return;
     const auto &Stop = *Fleet.stop();
     if (!Stop.isNamed(Now) && !Sessions->IsClosingIdle) {
       Sessions->IsClosingIdle = true;
@@ -348,10 +360,13 @@
     }
     if (Now >= Stop.answersDue())
       Path.expireAll();
-    const bool IsQuiet = Sessions->IsClosingIdle && Path.inFlight() == 0 &&
-                         !Stop.isNamed(Now - 2 * TickInterval);
-    if (!IsQuiet && Now < Stop.end())
-      return;
+    const bool MayEnd = Sessions->IsClosingIdle &&
+                        !Stop.isNamed(Now - 2 * TickInterval) && isQuiet();
+    if (MayEnd || Now >= Stop.end())
+      endDrain();
+  }
+
+  void endDrain() {
     Log.info(absl::StrCat("drained requests=", Path.inFlight(),
                           " connections=", Sessions->Open,
                           " answers_unfinished=", countUnfinished()));
@@ -380,9 +395,9 @@
   double LoggedFraction = 0;
   std::optional<row_kind> LoggedOutdatedRows;
   bool WasReady = false;
-  bool IsAcceptingPaused = false; ///< no connection accepted since the pause
-  std::ptrdiff_t KnownFaulty = 0; ///< rollouts known to be faulty
-  std::function<void()> OnDrained;
+  bool IsAcceptingPaused = false;  ///< no connection accepted since the pause
+  std::ptrdiff_t KnownFaulty = 0;  ///< rollouts known to be faulty
+  std::function<void()> OnDrained; ///< set while the VM drains
 };
 
 absl::StatusOr<std::unique_ptr<ingress_node>>
--- a/tests/ingress/ingress_fixture.cpp
+++ b/tests/ingress/ingress_fixture.cpp
@@ -111,4 +111,14 @@
   return Drained.get_future();
 }
 
+std::future<void> ingress_fixture::stop() {
+  asio::post(Context, [this] {
+    Node->drain([this] {
+      Context.stop();
+      Drained.set_value();
+    });
+  });
+  return Drained.get_future();
+}
+
 } // namespace sesamepaddle
--- a/tests/ingress/ingress_fixture.h
+++ b/tests/ingress/ingress_fixture.h
@@ -47,6 +47,8 @@
   tcp::endpoint callers() const { return Node->callerEndpoint(); }
   /** Starts to drain the VM. @returns a future that is ready when it is done */
   std::future<void> drain();
+  /** The same, and ends the VM as its process does: nothing runs any more. */
+  std::future<void> stop();
 
   /** Timeout for events that a passing test always sees. */
   static constexpr std::chrono::milliseconds LongWait{5'000};
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -16,10 +16,21 @@
   /** Connects at once. Throws boost::system::system_error on failure. */
   explicit raw_connection(const tcp::endpoint &Server);
 
+  /** Connects with a receive buffer of about @p ReceiveBytes, so that the
+      server soon has to wait for readBytes(). */
+  raw_connection(const tcp::endpoint &Server, int ReceiveBytes);
+
   /** Sends bytes unchanged. Ignores errors, since the server may have closed
      the connection already. */
   void send(std::string_view Bytes);
 
+  /** Closes the sending side, as a caller that sends no more requests. */
+  void shutdownSend();
+
+  /** Reads until @p Count bytes have come, the server closes the connection or
+      @p Limit has passed, and sets isClosed(). @returns the bytes read. */
+  std::string readBytes(std::size_t Count, std::chrono::milliseconds Limit);
+
   /** Reads until the server closes the connection or @p Limit has passed, and
       sets isClosed(). @returns the bytes read. */
   std::string readToEnd(std::chrono::milliseconds Limit);
