--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -195,6 +195,7 @@
     return absl::StrCat(
         Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
         "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
+        "\nsesamepaddle_answers_in_progress ", countUnfinished(),
         "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
         "\nsesamepaddle_endpoint_connections_idle ",
         Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
@@ -207,7 +208,7 @@
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
         "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
-        attemptMetricsText());
+        attemptMetricsText(), Sessions->Unfinished.prometheusText());
   }
 
   std::string attemptMetricsText() {
@@ -271,9 +272,11 @@
     OpenSessions.push_back(Session);
     asio::co_spawn(Pool.context(0), Session->run(),
                    [this, Session](const std::exception_ptr &Error) {
-                     if (Error)
-                       Log.error("connection ended error=" +
-                                 describeException(Error));
+                     if (!Error)
+                       return;
+                     Log.error("connection ended error=" +
+                               describeException(Error));
+                     Session->noteUnfinished(unfinished_cause::Failed);
                    });
   }
 
@@ -320,8 +323,7 @@
         Upstreams.sweep(Now);
       std::erase_if(OpenSessions,
                     [](const auto &Entry) { return Entry.expired(); });
-      if (Fleet.isStopping() && OnDrained)
-        advanceDrain(Now);
+      advanceDrain(Now);
     }
   }
 
@@ -344,9 +346,33 @@
         absl::StrCat("limits fraction=", Fraction, " vms=", Fleet.vmCount()));
   }
 
+  /** @returns the number of requests whose callers have not received all of
+      their answers. */
+  std::size_t countUnfinished() const {
+    std::size_t Count = 0;
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock();
+          Session && Session->hasUnfinishedAnswer())
+        ++Count;
+    return Count;
+  }
+
+  /** @returns true when all connections have ended, and with them all requests
+      and answers. */
+  bool isQuiet() const {
+    const bool AreServersBusy =
+        std::any_of(Servers.begin(), Servers.end(), [](const auto &Server) {
+          return Server->requestsInFlight() > 0;
+        });
+    return Sessions->Open == 0 && Path.inFlight() == 0 && !AreServersBusy;
+  }
+
   // Idle connections are closed when callers no longer use this VM's address.
-  // Requests in flight have the rest of the grace period to finish.
+  // Requests in flight and callers that take their answers have the rest of the
+  // grace period to finish.
   void advanceDrain(time_point Now) {
+    if (!OnDrained)
+      return;
     const auto &Stop = *Fleet.stop();
     if (!Stop.isNamed(Now) && !Sessions->IsClosingIdle) {
       Sessions->IsClosingIdle = true;
@@ -356,12 +382,19 @@
     }
     if (Now >= Stop.answersDue())
       Path.expireAll();
-    const bool IsQuiet = Sessions->IsClosingIdle && Path.inFlight() == 0 &&
-                         !Stop.isNamed(Now - 2 * TickInterval);
-    if (!IsQuiet && Now < Stop.end())
-      return;
+    const bool MayEnd = Sessions->IsClosingIdle &&
+                        !Stop.isNamed(Now - 2 * TickInterval) && isQuiet();
+    if (MayEnd || Now >= Stop.end())
+      endDrain();
+  }
+
+  void endDrain() {
     Log.info(absl::StrCat("drained requests=", Path.inFlight(),
-                          " connections=", Sessions->Open));
+                          " connections=", Sessions->Open,
+                          " answers_unfinished=", countUnfinished()));
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock())
+        Session->noteUnfinished(unfinished_cause::VmEnded);
     Gossip->stop();
     std::exchange(OnDrained, nullptr)();
   }
@@ -386,9 +419,9 @@
   double LoggedFraction = 0;
   std::optional<row_kind> LoggedOutdatedRows;
   bool WasReady = false;
-  bool IsAcceptingPaused = false; ///< no connection accepted since the pause
-  std::ptrdiff_t KnownFaulty = 0; ///< rollouts known to be faulty
-  std::function<void()> OnDrained;
+  bool IsAcceptingPaused = false;  ///< no connection accepted since the pause
+  std::ptrdiff_t KnownFaulty = 0;  ///< rollouts known to be faulty
+  std::function<void()> OnDrained; ///< set while the VM drains
 };
 
 absl::StatusOr<std::unique_ptr<ingress_node>>
