Retries that arrive after a window began count in it

Cause: a VM counts a retry when it decides it, the service when it arrives, up to 250 ms later when a connection has to be opened; requests are counted here after they were sent. With windows of the same length retries arrive in a window whose requests no longer allow them.

Retries count 0.3 s longer than the window and requests 0.3 s shorter. What is later than that (a cut link that heals) is not covered.

--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -16,6 +16,10 @@
 // UsedSlack in the same window, and the ages of later ones add up to one window
 // at most.
 constexpr double UsedSlackAtStart = 0.3;
+// Bound on the time from a caller's sending to the arrival here, plus that from
+// the decision to retry to the arrival at the service: 250 ms to open a
+// connection, and a round trip between regions.
+constexpr std::chrono::milliseconds TransitTime{300};
 // Bounds the memory of a window. Further requests do not allow more retries.
 constexpr std::size_t MaxCountedRequests = 20'000;
 
@@ -48,14 +52,17 @@
                                          const attempt_limits &Limits,
                                          std::size_t Vms, time_point Now) {
   auto &Window = Windows[Service];
-  dropBefore(Window.Requests, Now - Limits.Window);
-  dropBefore(Window.Retries, Now - Limits.Window);
+  // What reaches the service within a window was decided within a longer one,
+  // and has to be due to requests that an observer counts in a shorter one.
+  const auto RetryWindow = Limits.Window + TransitTime;
+  dropBefore(Window.Requests, Now - (Limits.Window - TransitTime));
+  dropBefore(Window.Retries, Now - RetryWindow);
   retry_decision Decision;
   Decision.Retries = Window.Retries.size();
   Decision.Vms = std::max<std::size_t>(Vms, 1);
   Decision.MaxRetries =
       UsedRatio * Limits.Ratio * static_cast<double>(Window.Requests.size()) +
-      usedSlack(Now - StartedAt, Limits.Window) * Limits.Slack /
+      usedSlack(Now - StartedAt, RetryWindow) * Limits.Slack /
           static_cast<double>(Decision.Vms);
   Decision.IsAllowed =
       static_cast<double>(Decision.Retries) + 1 <= Decision.MaxRetries;
--- a/tests/admission/retry_fleet_test.cpp
+++ b/tests/admission/retry_fleet_test.cpp
@@ -102,3 +102,15 @@
   }
   CHECK(Fleet.worstWindow() <= 1);
 }
+
+TEST_CASE("retries that arrive late stay within the budget of that time") {
+  retry_fleet Fleet(10, attempt_limits(), 1);
+  Fleet.FailingShare = 0;
+  Fleet.run(milliseconds(10), 500'000);
+  Fleet.run(milliseconds(9'790), 0);
+  Fleet.FailingShare = 1;
+  Fleet.MaxAttemptTime = milliseconds(0);
+  Fleet.run(milliseconds(190), 2'600);
+  Fleet.run(milliseconds(1'000), 0);
+  CHECK(Fleet.worstWindow() <= 1);
+}
