A VM that does not know the others yet takes no share of what all have

A VM that had neither read the list nor heard anybody took the same after 10 s.

The list counts only if the VM finds itself in it, as then the fleet has run before; else the VM learns the others from messages for 10 s. A VM with other seeds that has heard nobody has no share, however long it has run. For quotas the list counts as before.

Ruled out: VMs that are cut off later, as VMs are never forgotten (checked).

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -116,8 +116,13 @@
   void applyVm(known_vm Vm);
   /** Adds a VM from which no message has arrived yet. A known one is kept. */
   void learnVm(known_vm Vm);
-  /** Records that all VMs that exist have been learned. */
-  void setVmsListed() { AreVmsListed = true; }
+  /** Records that the VMs of the store's list have been learned.
+      @param HasSelf  this VM was among them, so that the fleet has run before;
+                      else other VMs may not have written their rows yet */
+  void setVmsListed(bool HasSelf) {
+    AreVmsListed = true;
+    IsFleetListed = IsFleetListed || HasSelf;
+  }
 
   /** Replaces the bounds, after a change of settings. */
   void setBounds(const fleet_bounds &Bounds) { Options.Bounds = Bounds; }
@@ -156,7 +161,7 @@
 
   /** @returns the number of VMs by which to divide what all together may have:
       more than any fleet has until this VM has learned the others. */
-  std::size_t sharingVms() const;
+  std::size_t sharingVms(time_point Now = boot_clock::now()) const;
 
   /** @returns the index of this VM among all known ones sorted by name. */
   std::size_t vmRank() const;
@@ -260,7 +265,8 @@
   std::optional<stop_schedule> Stop;
   bool IsStoreLost = false;
   bool AreVmsListed = false;
-  time_point StartedAt; ///< of this process
+  bool IsFleetListed = false; ///< in a list that had this VM too
+  time_point StartedAt;       ///< of this process
   std::mt19937_64 Random;
 };
 
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -348,9 +348,10 @@
   });
 }
 
-std::size_t fleet_state::sharingVms() const {
-  const bool IsNew = uptime(boot_clock::now()) < MaxLearningTime;
-  if (IsNew && !AreVmsListed && hasOtherSeeds())
+std::size_t fleet_state::sharingVms(time_point Now) const {
+  // A VM that knows nobody is cut off, rather than alone.
+  const bool IsLearning = uptime(Now) < MaxLearningTime || Vms.empty();
+  if (IsLearning && !IsFleetListed && hasOtherSeeds())
     return std::numeric_limits<std::size_t>::max();
   return vmCount();
 }
--- a/tests/adapter/store_synchronizer_test.cpp
+++ b/tests/adapter/store_synchronizer_test.cpp
@@ -91,6 +91,31 @@
 // A reader may be short of processor time, as all are while a fleet starts. If
 // each of its followers read the store then, a fleet of 295 VMs would make two
 // thousand calls.
+TEST_CASE(
+    "a VM does not take the shares of VMs that the store does not list yet") {
+  synchronizer_fixture Fixture;
+  Fixture.Store.put("vm", "vm-2", R"({"gossip":"127.0.0.1:7742"})");
+  const auto AwaitList = [&] {
+    Fixture.start();
+    Fixture.await([&] { return Fixture.Fleet.vmCount() == 2; });
+    Fixture.await(
+        [&] { return Fixture.Store.value("vm", "vm-1").has_value(); });
+  };
+  const auto SharingVms = [&] {
+    return Fixture.onThread([&] { return Fixture.Fleet.sharingVms(); });
+  };
+
+  SUBCASE("at the first start of the fleet") {
+    AwaitList();
+    CHECK(SharingVms() > 1'000'000);
+  }
+  SUBCASE("and takes its own when it starts anew") {
+    Fixture.Store.put("vm", "vm-1", R"({"gossip":"127.0.0.1:7740"})");
+    AwaitList();
+    CHECK(SharingVms() == 2);
+  }
+}
+
 TEST_CASE("when its reader does not answer, a VM asks another one first") {
   synchronizer_fixture Fixture;
   std::size_t SilentPolls = 0;
--- a/tests/adapter/synchronizer_fixture.h
+++ b/tests/adapter/synchronizer_fixture.h
@@ -140,6 +140,7 @@
     Options.Vm.Name = vm_name("vm-1");
     Options.Vm.Region = region_name("lima");
     Options.Vm.GossipAddress = "127.0.0.1:7740";
+    Options.Vm.SeedGossipAddresses = {"127.0.0.1:7741"};
     return Options;
   }
 
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -256,3 +256,42 @@
     CHECK(static_cast<double>(Retries) <= Limits.Slack);
   }
 }
+
+TEST_CASE("a VM that is cut off does not take the shares of all others") {
+  ingress_options Options;
+  Options.Vm.Name = vm_name("vm-own");
+  Options.Vm.Region = region_name("lima");
+  Options.Vm.GossipAddress = "10.0.0.1:7740";
+  Options.Vm.SeedGossipAddresses = {"10.0.0.1:7740", "10.0.0.2:7740"};
+  fleet_state Fleet(Options);
+  const auto Later = boot_clock::now() + std::chrono::minutes(5);
+  constexpr std::size_t NoShare = 1'000'000; // no fleet has so many VMs
+  const auto AddVm = [&](int Number) {
+    known_vm Vm;
+    Vm.Name = vm_name("vm-" + std::to_string(Number));
+    Fleet.learnVm(std::move(Vm));
+  };
+
+  SUBCASE("when it has not heard of any") {
+    CHECK(Fleet.sharingVms(Later) > NoShare);
+    Fleet.setVmsListed(false);
+    CHECK(Fleet.sharingVms(Later) > NoShare);
+  }
+  SUBCASE("before it can have heard of all") {
+    AddVm(1);
+    Fleet.setVmsListed(false);
+    CHECK(Fleet.sharingVms() > NoShare);
+    CHECK(Fleet.sharingVms(Later) == 2);
+  }
+  SUBCASE("and counts those that it does not hear any more") {
+    for (int Number = 0; Number < 67; ++Number)
+      AddVm(Number);
+    Fleet.setVmsListed(true);
+    CHECK(Fleet.sharingVms() == 68);
+    CHECK(Fleet.sharingVms(Later) == 68);
+  }
+  SUBCASE("but a fleet of one VM takes the whole") {
+    Options.Vm.SeedGossipAddresses = {"10.0.0.1:7740"};
+    CHECK(fleet_state(Options).sharingVms() == 1);
+  }
+}
