A retry counts for the service that gets it

Requests were counted for the budget before their callers were looked for, so that a VM that had been paused counted those of callers that had left meanwhile.

When the service is chosen anew after a sending, the retry is taken from the budget of the new service, or the request ends. A request counts just before its first placing.

test_ingress 'a retry counts for the service that gets it' failed before (0 retries for the new service) and passes.

--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -167,6 +167,7 @@
   unsigned SentAttempts = 0; ///< attempts that reached an endpoint
   int Unreached = 0;         ///< attempts that did not
   bool MayHaveRun = false;   ///< at an endpoint
+  bool IsCounted = false;    ///< by the budget of retries
   exchange_end LastEnd = exchange_end::NotConnected;
   /** countLateRequests() has counted the latest attempt. */
   bool IsLateCounted = false;
@@ -302,6 +303,10 @@
     State.Reason += "+no-attempts";
     return false;
   }
+  return takeRetry(State);
+}
+
+bool request_path::takeRetry(request_state &State) {
   const auto Decision =
       Fleet.attempts().takeRetry(State.Service, Fleet.options().Bounds.Attempts,
                                  Fleet.sharingVms(), boot_clock::now());
@@ -602,6 +607,11 @@
     if (!IsServiceCurrent) {
       State.Service = State.Route->serviceFor(Fleet.draw());
       State.Version = Fleet.drawVersion(State.Service);
+      // The permission that it has is for the former service.
+      if (State.SentAttempts > 0 && !takeRetry(State))
+        co_return State.MayHaveRun
+            ? unknownOutcomeReply(State)
+            : refuse(State, 503, "endpoint-full", ShortRetrySeconds);
     }
     // The request may have waited in the socket of a busy VM, or for a token, a
     // connection or another endpoint.
@@ -614,6 +624,8 @@
       co_return State.MayHaveRun ? unknownOutcomeReply(State)
                                  : refuse(State, 503, "deadline", 0);
     }
+    if (!std::exchange(State.IsCounted, true))
+      Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
     placement_request Wanted;
     Wanted.ObjectHash = State.ObjectHash;
     Wanted.CallerRegion = Fleet.options().Vm.Region;
@@ -728,7 +740,6 @@
   if (auto Refusal = co_await admit(State))
     co_return std::move(*Refusal);
   State.Reason.clear();
-  Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
   State.Version = Fleet.drawVersion(State.Service);
   co_return co_await send(State);
 }
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -111,6 +111,8 @@
       @param WasSent  false when the last attempt did not reach its endpoint;
                       then it costs neither an attempt nor the retry budget */
   bool mayRetry(request_state &State, bool WasSent);
+  /** Counts a retry to the request's service if the budget allows it. */
+  bool takeRetry(request_state &State);
   /** Reports a crash if @p Endpoint accepts no connection after it lost one. */
   awaitable<void> verifyCrash(endpoint_pointer Endpoint,
                               std::string Fingerprint);
