Tests: faults at random, added VMs, and what the budget of retries refuses

The fuzz plays a calm time and then rounds of failing requests with restarts, stops, pauses, added VMs, bursts and traffic that moves. A fleet of ten VMs still retries failures of one request in twenty.

--- a/tests/admission/retry_fleet_test.cpp
+++ b/tests/admission/retry_fleet_test.cpp
@@ -1,8 +1,11 @@
 #include "admission/retry_fleet.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
+#include <vector>
 
 using namespace sesamepaddle;
 using std::chrono::milliseconds;
@@ -114,3 +117,87 @@
   Fleet.run(milliseconds(1'000), 0);
   CHECK(Fleet.worstWindow() <= 1);
 }
+
+TEST_CASE("retries stay within the budget as VMs are added") {
+  for (const auto &Size : FleetSizes) {
+    CAPTURE(Size.Vms);
+    retry_fleet Fleet(Size.Vms, limitsOf(Size), 1);
+    Fleet.FailingShare = 0;
+    Fleet.run(milliseconds(12'000), Size.Rate);
+    Fleet.FailingShare = 1;
+    Fleet.run(milliseconds(1'500), Size.Rate);
+    Fleet.grow(Size.Vms * 3);
+    Fleet.run(milliseconds(12'000), Size.Rate);
+    CHECK(Fleet.worstWindow() <= 1);
+  }
+}
+
+TEST_CASE("fuzz: no fault lets VMs retry more than the budget allows") {
+  const bool IsKept = rc::check([](std::uint64_t Seed) {
+    const auto Size =
+        FleetSizes[*rc::gen::inRange<std::size_t>(0, FleetSizes.size())];
+    retry_fleet Fleet(Size.Vms, limitsOf(Size), Seed);
+    // Traffic goes to all VMs or to some, moves, and may come in bursts.
+    const auto Share = *rc::gen::element<std::size_t>(1, 1, 2, 5);
+    const bool IsMoving = *rc::gen::arbitrary<bool>();
+    const double PeakFactor = *rc::gen::element(1.0, 1.0, 10.0);
+    std::size_t Offset = 0;
+    const auto Play = [&](milliseconds Time, double Factor) {
+      std::vector<double> Rates(Fleet.size());
+      for (std::size_t Vm = Offset; Vm < Rates.size(); Vm += Share)
+        Rates[Vm] = Factor * Size.Rate * static_cast<double>(Share) /
+                    static_cast<double>(Fleet.size());
+      Fleet.run(Time, Rates);
+    };
+
+    // After a calm time a VM may retry most.
+    Fleet.FailingShare = 0;
+    Play(milliseconds(*rc::gen::inRange(8'000, 12'000)), 1);
+    Fleet.MaxAttemptTime = milliseconds(*rc::gen::element(0, 100, 1'500));
+    const auto RoundTime = milliseconds(*rc::gen::inRange(200, 4'000));
+    const auto UsualFault = *rc::gen::inRange(0, 6);
+    const auto Rounds = *rc::gen::inRange(2, 12);
+    for (int Round = 0; Round < Rounds; ++Round) {
+      Fleet.FailingShare = *rc::gen::element(1.0, 1.0, 1.0, 0.1);
+      const double Factor = *rc::gen::element(1.0, 1.0, PeakFactor, 0.0);
+      Play(RoundTime, Factor);
+      if (IsMoving)
+        Offset = *rc::gen::inRange<std::size_t>(0, Share);
+      const auto Vm = *rc::gen::inRange<std::size_t>(0, Fleet.size());
+      const bool IsUsual = *rc::gen::inRange(0, 4) > 0;
+      switch (IsUsual ? UsualFault : *rc::gen::inRange(0, 6)) {
+      case 0:
+      case 1:
+        Fleet.restartAll();
+        break;
+      case 2:
+        Fleet.restart(Vm);
+        break;
+      case 3:
+        Fleet.stop(Vm);
+        break;
+      case 4:
+        Fleet.setPaused(Vm, *rc::gen::arbitrary<bool>());
+        break;
+      default:
+        Fleet.grow(std::min(Fleet.size() + 5, 2 * Size.Vms));
+        break;
+      }
+    }
+    RC_ASSERT(Fleet.worstWindow() <= 1);
+  });
+  CHECK(IsKept);
+}
+
+// What the bound costs callers while endpoints fail now and then.
+TEST_CASE("a small fleet retries failures of one request in twenty") {
+  for (const double Rate : {20.0, 200.0}) {
+    CAPTURE(Rate);
+    retry_fleet Fleet(10, attempt_limits(), 1);
+    Fleet.FailingShare = 0.05;
+    Fleet.run(milliseconds(12'000), Rate);
+    Fleet.resetCounts();
+    Fleet.run(milliseconds(30'000), Rate);
+    CHECK(Fleet.refusedShare() <= 0.05);
+  }
+}
