A VM that starts is told which requests crash endpoints

With VMs that restart one after the other the retries of such a request add up.

The answer to a VM that asks for a message has the crashes of the requests that are refused, 16 at most, with their age, so that being told again does not prolong a refusal.

--- a/include/sesamepaddle/upstreams/poison_registry.h
+++ b/include/sesamepaddle/upstreams/poison_registry.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sesamepaddle {
 
@@ -54,6 +55,18 @@
   /** @returns false when the request must be refused. */
   bool mayRun(std::string_view Fingerprint, time_point Now) const;
 
+  /** A crash that counts against a request which is refused. */
+  struct kept_crash {
+    crash_evidence Evidence;
+    duration Age;
+  };
+
+  /** @returns the evidence against the requests that are refused, of the newest
+      suspects first, to be told to a VM that has just started.
+      @param MaxCrashes  number of crashes at most */
+  std::vector<kept_crash> refusedRequests(std::size_t MaxCrashes,
+                                          time_point Now) const;
+
   /** @returns the number of requests with evidence against them. */
   std::size_t suspects() const { return Suspects.size(); }
 
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -46,7 +46,8 @@
 struct gossip_crash {
   std::string Fingerprint;
   std::string Endpoint;
-  MSGPACK_DEFINE(Fingerprint, Endpoint)
+  std::uint64_t AgeMs = 0; ///< time since the crash; absent in older versions
+  MSGPACK_DEFINE(Fingerprint, Endpoint, AgeMs)
 };
 
 /** The answers that the sender received from an endpoint with bad answers. The
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -25,8 +25,11 @@
 // SilentVmRounds-th round.
 constexpr std::chrono::seconds LongSilence{8};
 constexpr int SilentVmRounds = 8;
-// Crashes that are queued for the next message.
+// Crashes that are queued for the next message, and that a VM which has just
+// started is told.
 constexpr std::size_t MaxCrashes = 16;
+// Age up to which such a crash counts: longer than any request is refused.
+constexpr std::uint64_t MaxCrashAgeMs = 3'600'000;
 // A VM that has just started asks all others for a message. On average this
 // many of them add all known objects, and as many the VMs that they know: in a
 // fleet of 300 that start together, complete replies of all would be 1 GB.
@@ -119,7 +122,7 @@
   Path.OnCrash = [Weak = weak_from_this()](const crash_evidence &Crash) {
     if (const auto Gossip = Weak.lock();
         Gossip && Gossip->Crashes.size() < MaxCrashes) {
-      Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
+      Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint, 0});
       Gossip->sendNow(true);
     }
   };
@@ -432,7 +435,9 @@
           Message.Name, {fromHundredths(Seen.Good), fromHundredths(Seen.Bad)},
           Now);
   for (const auto &Crash : Message.Crashes)
-    Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
+    if (Crash.AgeMs <= MaxCrashAgeMs)
+      Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint},
+                             Now - milliseconds(Crash.AgeMs));
   for (const auto &Known : Message.Vms) {
     known_vm Learned;
     Learned.Name = vm_name(Known.Name);
@@ -442,6 +447,12 @@
   if (!Message.WantsReply)
     return;
   auto Reply = makeMessage(Now);
+  for (const auto &[Evidence, Age] :
+       Path.poison().refusedRequests(MaxCrashes, Now))
+    Reply.Crashes.push_back(
+        {Evidence.Fingerprint, Evidence.Endpoint,
+         static_cast<std::uint64_t>(
+             std::chrono::duration_cast<milliseconds>(Age).count())});
   const auto IsDetailSender = [this] {
     return Fleet.draw() * static_cast<double>(Fleet.vmCount()) <
            ExpectedDetailSenders;
--- a/src/upstreams/poison_registry.cpp
+++ b/src/upstreams/poison_registry.cpp
@@ -1,5 +1,7 @@
 #include "sesamepaddle/upstreams/poison_registry.h"
 
+#include <algorithm>
+
 namespace sesamepaddle {
 
 void poison_registry::addAnswer(std::string_view Fingerprint, time_point Now) {
@@ -35,7 +37,8 @@
   if (Suspect.Crashes >= Limits.Crashes)
     return false;
   Suspect.LatestByEndpoint[Evidence.Endpoint] = Now;
-  Suspect.LatestCrash = Now;
+  // Another VM may tell of earlier ones.
+  Suspect.LatestCrash = std::max(Suspect.LatestCrash, Now);
   ++Suspect.Crashes;
   return true;
 }
@@ -48,6 +51,22 @@
          Now - Suspect->second.LatestCrash > Limits.Quarantine;
 }
 
+std::vector<poison_registry::kept_crash>
+poison_registry::refusedRequests(std::size_t MaxCrashes, time_point Now) const {
+  std::vector<kept_crash> Kept;
+  for (auto Next = SuspectsByAge.rbegin(); Next != SuspectsByAge.rend();
+       ++Next) {
+    if (mayRun(*Next, Now))
+      continue;
+    const auto &Crashes = Suspects.find(*Next)->second.LatestByEndpoint;
+    if (Kept.size() + Crashes.size() > MaxCrashes)
+      break;
+    for (const auto &[Endpoint, At] : Crashes)
+      Kept.push_back({{*Next, Endpoint}, Now - At});
+  }
+  return Kept;
+}
+
 bool poison_registry::wasAnsweredRecently(std::string_view Fingerprint,
                                           time_point Now) const {
   const auto Known = Answers.find(Fingerprint);
--- a/tests/ingress/gossip_test.cpp
+++ b/tests/ingress/gossip_test.cpp
@@ -246,3 +246,35 @@
   CHECK(Ask(FleetSize) == 0);
   CHECK(Ask(0) >= FleetSize);
 }
+
+TEST_CASE("a VM that starts is told which requests crash endpoints") {
+  simulated_vm Peer;
+  ingress_fixture Fixture({answerWhole}, [&](ingress_options &Options) {
+    Options.Vm.SeedGossipAddresses = {Peer.address()};
+  });
+  while (Peer.receive().empty())
+    std::this_thread::sleep_for(milliseconds(10));
+  gossip_message Message;
+  Message.Name = "vm-2";
+  Message.Region = "lima";
+  Message.GossipAddress = Peer.address();
+  Message.Crashes = {{"f-1", "i-1", 0}, {"f-1", "i-2", 60'000}};
+  Peer.send(Message);
+  Message.Name = "vm-3";
+  Message.Crashes.clear();
+  Message.WantsReply = true;
+  std::vector<gossip_crash> Told;
+  const auto Start = boot_clock::now();
+  while (Told.empty() &&
+         boot_clock::now() - Start < ingress_fixture::LongWait) {
+    Peer.send(Message);
+    std::this_thread::sleep_for(milliseconds(20));
+    for (auto &Reply : Peer.receive())
+      if (!Reply.Crashes.empty())
+        Told = std::move(Reply.Crashes);
+  }
+  REQUIRE(Told.size() == 2);
+  CHECK(Told[0].Fingerprint == "f-1");
+  CHECK(Told[1].Endpoint == "i-2");
+  CHECK(Told[1].AgeMs >= 60'000);
+}
--- a/tests/upstreams/poison_registry_test.cpp
+++ b/tests/upstreams/poison_registry_test.cpp
@@ -130,3 +130,26 @@
     CHECK(Small.suspects() == 3);
   }
 }
+
+TEST_CASE("a registry tells which requests are refused, and since when") {
+  poison_registry Registry;
+  const time_point Start{};
+  Registry.addCrash({"bad", "b"}, Start);
+  Registry.addCrash({"bad", "a"}, Start + seconds(5));
+  Registry.addCrash({"suspect", "a"}, Start);
+  const auto Now = Start + seconds(400);
+
+  SUBCASE("so that another one refuses them for the rest of the time") {
+    poison_registry Told;
+    for (const auto &[Evidence, Age] : Registry.refusedRequests(16, Now))
+      Told.addCrash(Evidence, Now - Age);
+    CHECK(Told.suspects() == 1);
+    CHECK_FALSE(Told.mayRun("bad", Now));
+    CHECK_FALSE(Told.mayRun("bad", Start + seconds(605)));
+    CHECK(Told.mayRun("bad", Start + seconds(606)));
+  }
+  SUBCASE("no more than asked for, and none that is run again") {
+    CHECK(Registry.refusedRequests(1, Now).empty());
+    CHECK(Registry.refusedRequests(16, Start + seconds(606)).empty());
+  }
+}
