A stopping VM that is late writes its last answers before it ends

What callers saw: a request that was at an endpoint when the grace period ended got no answer, only a closed connection, if the VM was late.

Cause: answers are due 150 ms before the end, and one periodic task sees to both every 100 ms. A task that runs 50 ms late may reach both in one pass: the waits for endpoints were ended and the process with them, before the requests could write their answers. A VM with a small share of a processor is that late.

Now the end comes in a later pass of the event loop than the expiry of requests, and both times have deadlines of their own, besides the ticks.

Test: 'a VM that is late in a planned stop still answers its requests', those at an endpoint: failed before (no answer), passes; its VM's thread is held up for 550 ms over both times.

--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -102,6 +102,9 @@
       return;
     Fleet.beginStop(boot_clock::now());
     OnDrained = std::move(Done);
+    const auto Advance = [this] { advanceDrain(boot_clock::now()); };
+    AnswersDue = Deadlines.add(Fleet.stop()->answersDue(), Advance);
+    DrainEnd = Deadlines.add(Fleet.stop()->end(), Advance);
     Gossip->sendNow(true);
     Log.info(absl::StrCat("draining requests=", Path.inFlight(),
                           " connections=", Sessions->Open));
@@ -360,13 +363,20 @@
     }
     if (Now >= Stop.answersDue())
       Path.expireAll();
-    const bool MayEnd = Sessions->IsClosingIdle &&
-                        !Stop.isNamed(Now - 2 * TickInterval) && isQuiet();
-    if (MayEnd || Now >= Stop.end())
+    if (Now >= Stop.end()) {
+      // Requests that have just expired write their answers first.
+      asio::post(Pool.context(0),
+                 [Self = shared_from_this()] { Self->endDrain(); });
+      return;
+    }
+    if (Sessions->IsClosingIdle && !Stop.isNamed(Now - 2 * TickInterval) &&
+        isQuiet())
       endDrain();
   }
 
   void endDrain() {
+    if (!OnDrained)
+      return;
     Log.info(absl::StrCat("drained requests=", Path.inFlight(),
                           " connections=", Sessions->Open,
                           " answers_unfinished=", countUnfinished()));
@@ -398,6 +408,9 @@
   bool IsAcceptingPaused = false;  ///< no connection accepted since the pause
   std::ptrdiff_t KnownFaulty = 0;  ///< rollouts known to be faulty
   std::function<void()> OnDrained; ///< set while the VM drains
+  // When advanceDrain() is due besides the ticks.
+  deadline_queue::registration AnswersDue;
+  deadline_queue::registration DrainEnd;
 };
 
 absl::StatusOr<std::unique_ptr<ingress_node>>
--- a/tests/ingress/answers_taken_test.cpp
+++ b/tests/ingress/answers_taken_test.cpp
@@ -14,6 +14,7 @@
 // A VM closes idle connections 3.3 s after it has begun to stop.
 constexpr milliseconds AfterIdleTime{4'200};
 constexpr milliseconds GracePeriod{12'000};
+constexpr milliseconds ShortGracePeriod{3'000};
 constexpr int SmallBuffer = 32 * 1024;
 // More than the buffers of a connection over loopback hold.
 constexpr std::size_t LongBytes = 16U * 1024 * 1024;
@@ -81,6 +82,27 @@
 }
 
 TEST_CASE("a VM that is late in a planned stop still answers its requests") {
+  SUBCASE("those that are at an endpoint when the VM has to end") {
+    ingress_fixture Fixture({answerWith(HeadBytes, ingress_fixture::LongWait)},
+                            [](ingress_options &Options) {
+                              Options.Bounds.GracePeriod = ShortGracePeriod;
+                            });
+    auto Stopped = Fixture.stop();
+    std::this_thread::sleep_for(milliseconds(2'050));
+    raw_connection Caller(Fixture.callers());
+    Caller.send(makeGet("r1"));
+    std::this_thread::sleep_for(milliseconds(150));
+    CHECK(Fixture.endpoint(0).requests().size() == 1);
+    // Both the time at which answers are due and the end pass meanwhile.
+    Fixture.onVm([](fleet_state &) {
+      std::this_thread::sleep_for(milliseconds(550));
+      return true;
+    });
+    Stopped.get();
+    const auto Answer = Caller.readBytes(HeadBytes, milliseconds(500));
+    CHECK(Answer.starts_with("HTTP/1.1 504 "));
+  }
+
   SUBCASE("those on connections that it has not accepted yet") {
     ingress_fixture Fixture({answerWith(HeadBytes)}, useGracePeriod);
     auto Stopped = Fixture.stop();
