A caller that takes its answer slowly gets all of it

What callers saw: an answer that took more than 10 s to send was cut, although they were taking it and their deadline was later.

Cause: the write had 10 s in all. Now a caller counts as gone when it has taken no byte for 10 s, or has not taken everything within a minute. What it has taken is read from the kernel's send queue: a write ends only when a large part of the socket's buffer is free, which a slow caller leaves seldom.

Test: 'a caller that takes its answer slowly gets all of it' failed before (10,059,712 of 16,777,216 bytes), passes; one that takes nothing is still cut.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -26,9 +26,14 @@
 constexpr std::size_t MaxBuffered = 64 * 1024;
 // Time to receive a whole body: 64 MB over a link of 20 Mbit/s.
 constexpr std::chrono::milliseconds BodyTimeout{30'000};
-// A caller that does not take its whole answer within this time counts as
+// A caller that takes no byte of its answer for this time counts as
 // disconnected.
-constexpr std::chrono::milliseconds WriteTimeout{10'000};
+constexpr std::chrono::milliseconds StallTimeout{10'000};
+// How often that is checked.
+constexpr std::chrono::milliseconds ProgressInterval{1'000};
+// The same, when it has not taken all of it by then: 64 MB over a link of 10
+// Mbit/s.
+constexpr std::chrono::milliseconds MaxSendTime{60'000};
 // A caller sends its request within this time after it has opened a connection.
 constexpr std::chrono::milliseconds FirstRequestTime{500};
 // After an error reply the session keeps reading for this long: closing a
@@ -374,22 +379,44 @@
 
 awaitable<boost::system::error_code>
 caller_session::writeRest(std::array<asio::const_buffer, 2> Buffers) {
-  const auto Timer =
-      Context->Deadlines.add(boot_clock::now() + WriteTimeout, [this] {
-        IsStalled = true;
-        boost::system::error_code Ignored;
-        Socket.close(Ignored);
-      });
+  watchProgress();
   boost::system::error_code Error;
-  while (Unwritten > 0 && !Error) {
+  while (Unwritten > 0 && !Error && !IsStalled) {
     const std::size_t Written = co_await Socket.async_write_some(
         Buffers, asio::redirect_error(asio::use_awaitable, Error));
     Unwritten -= Written;
     consume(Buffers, Written);
   }
+  StallTimer = {};
+  if (IsStalled)
+    Error = asio::error::timed_out;
   co_return Error;
 }
 
+void caller_session::watchProgress() {
+  const auto Now = boot_clock::now();
+  Progress = {unacknowledgedBytes(), Now + StallTimeout, Now + MaxSendTime};
+  StallTimer = Context->Deadlines.add(Now + ProgressInterval,
+                                      [this] { checkProgress(); });
+}
+
+// A write ends only when a large part of the socket's buffer is free, so that
+// it does not show the progress of a slow caller.
+void caller_session::checkProgress() {
+  const auto Now = boot_clock::now();
+  const auto Left = unacknowledgedBytes();
+  if (Left < std::exchange(Progress.Left, Left))
+    Progress.StallAt = Now + StallTimeout;
+  if (Now < std::min(Progress.StallAt, Progress.Until)) {
+    StallTimer = Context->Deadlines.add(Now + ProgressInterval,
+                                        [this] { checkProgress(); });
+    return;
+  }
+  IsStalled = true;
+  boost::system::error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
 awaitable<void> caller_session::refuse(read_end End) {
   http_reply Reply;
   switch (End) {
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -77,6 +77,13 @@
     bool IsHeaderChecked = false;
   };
 
+  /** How a caller takes the current answer. */
+  struct progress {
+    std::size_t Left = 0; ///< bytes, at the last check
+    time_point StallAt{}; ///< when it counts as gone without progress
+    time_point Until{};   ///< when it counts as gone in any case
+  };
+
   /** Waits for bytes and appends them to the buffer.
       @returns false when none came before @p Until, or after wake() */
   awaitable<bool> receive(time_point Until);
@@ -106,6 +113,10 @@
   std::size_t unacknowledgedBytes();
   /** @returns true when the whole reply was written in time. */
   awaitable<bool> write(const http_reply &Reply, bool KeepAlive, bool IsHead);
+  /** Ends the current operation of a caller that takes too long for its answer,
+      until StallTimer is withdrawn. */
+  void watchProgress();
+  void checkProgress();
   /** Sends the error reply for @p End, if it has one. */
   awaitable<void> refuse(read_end End);
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
@@ -124,7 +135,9 @@
   time_point OpenedAt = boot_clock::now();
   std::string RequestId; ///< of the latest request that was read
   std::size_t Unwritten =
-      0;                    ///< bytes of the answer, not in the socket's buffer
+      0; ///< bytes of the answer, not in the socket's buffer
+  progress Progress;
+  deadline_queue::registration StallTimer; ///< of checkProgress()
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
   bool IsIdle = false; ///< waits for the first byte of a request
--- a/tests/ingress/answers_taken_test.cpp
+++ b/tests/ingress/answers_taken_test.cpp
@@ -122,3 +122,26 @@
     Late.get();
   }
 }
+
+TEST_CASE("a caller that takes its answer slowly gets all of it") {
+  ingress_fixture Fixture({answerWith(LongBytes)});
+  raw_connection Stalled(Fixture.callers(), SmallBuffer);
+  Stalled.send(makeGet("r1"));
+  raw_connection Caller(Fixture.callers(), SmallBuffer);
+  Caller.send(makeGet("r2"));
+  std::string Answer;
+  constexpr int Steps = 25;
+  for (int Step = 0; Step < Steps; ++Step) {
+    Answer +=
+        Caller.readBytes(LongBytes / (2 * Steps), ingress_fixture::LongWait);
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+  Answer +=
+      Caller.readBytes(LongBytes + Answer.find("\r\n\r\n") + 4 - Answer.size(),
+                       ingress_fixture::LongWait);
+  CHECK(bodyBytes(Answer) == LongBytes);
+  // A caller that has taken nothing for 10 s counts as gone.
+  const auto Part = Stalled.readToEnd(ingress_fixture::LongWait);
+  CHECK(Stalled.isClosed());
+  CHECK(bodyBytes(Part) < LongBytes);
+}
