A connection that ends does not destroy the answer before its end

What callers saw: the end of an answer was lost, with a reset, when anything came from them behind their request: an empty line, or the next request. This was so at any time after an answer with 'Connection: close', so after each answer in a planned stop.

Cause: the connection was closed at once, in both directions. The kernel resets a connection that is closed with unread bytes, or that gets some after it, and drops what it has not yet sent. Only error replies waited.

Now each connection with an answer ends in the same way: no more is sent, input is dropped until the caller closes, or for 0.3 s after the kernel's send queue is empty. A planned stop thereby waits until answers have arrived, not only until they are written. A caller that ended its sending side is waited for as well. Bounded as a slow answer is: 10 s without progress, one minute in all.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -36,10 +36,14 @@
 constexpr std::chrono::milliseconds MaxSendTime{60'000};
 // A caller sends its request within this time after it has opened a connection.
 constexpr std::chrono::milliseconds FirstRequestTime{500};
-// After an error reply the session keeps reading for this long: closing a
-// socket with unread bytes resets the connection, and the caller could lose the
-// reply.
+// A session keeps reading for this long after its caller has received the last
+// answer: closing a socket with unread bytes resets the connection, and the
+// caller could lose the answer.
 constexpr std::chrono::milliseconds LingerTimeout{300};
+// Bound on what it drops in that time: a link of 200 Mbit/s.
+constexpr std::size_t MaxLingerBytes = 8U * 1024 * 1024;
+// Pause between two looks at the send queue of a caller that sends no more.
+constexpr std::chrono::milliseconds ReceiptInterval{50};
 
 /** Removes the first @p Count bytes of @p Buffers. */
 void consume(std::array<asio::const_buffer, 2> &Buffers, std::size_t Count) {
@@ -72,23 +76,59 @@
 
 awaitable<void> caller_session::run() {
   const auto Self = shared_from_this();
+  auto End = read_end::Whole;
   for (bool KeepAlive = true; KeepAlive;) {
     incoming Incoming(Context->Bodies);
-    const auto End = co_await readRequest(Incoming);
-    if (End != read_end::Whole) {
-      co_await refuse(End);
-      break;
-    }
-    KeepAlive = co_await serveOne(Incoming);
+    End = co_await readRequest(Incoming);
+    if (End == read_end::Whole)
+      KeepAlive = co_await serveOne(Incoming);
+    else
+      KeepAlive = co_await refuse(End);
   }
-  if (IsClosed)
+  if (IsServing)
     noteUnfinished(causeOfEnd());
+  // An idle caller that has received everything has nothing to lose.
+  else if (hasUnfinishedAnswer() || !(IsClosed || End == read_end::Idle))
+    co_await finish();
   boost::system::error_code Ignored;
-  if (!IsClosed)
-    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket.close(Ignored);
 }
 
+awaitable<void> caller_session::finish() {
+  boost::system::error_code Ignored;
+  IsSendClosed = true;
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  if (hasUnfinishedAnswer())
+    watchProgress();
+  co_await dropInput();
+  // The caller sends no more, and may still be receiving.
+  asio::steady_timer Pause(Socket.get_executor());
+  while (hasUnfinishedAnswer() && !IsReset && !IsStalled) {
+    Pause.expires_after(ReceiptInterval);
+    co_await Pause.async_wait(asio::use_awaitable);
+    boost::system::error_code Error;
+    Socket.read_some(asio::buffer(ReadSpace), Error);
+    noteEnd(Error);
+  }
+  StallTimer = {};
+  noteUnfinished(causeOfEnd());
+}
+
+awaitable<void> caller_session::dropInput() {
+  std::size_t Dropped = 0;
+  auto Until = boot_clock::now() + LingerTimeout;
+  while (!IsClosed && !IsStalled) {
+    co_await receive(Until);
+    Dropped += Buffer.size();
+    Buffer.consume(Buffer.size());
+    if (Dropped < MaxLingerBytes && boot_clock::now() < Until)
+      continue;
+    if (!hasUnfinishedAnswer())
+      co_return;
+    Until = boot_clock::now() + LingerTimeout;
+  }
+}
+
 void caller_session::wake() {
   boost::system::error_code Ignored;
   if (IsIdle)
@@ -143,7 +183,9 @@
 }
 
 std::size_t caller_session::unacknowledgedBytes() {
-  return Unwritten + sendQueueBytes(Socket);
+  // A FIN counts in the queue until it is acknowledged.
+  const auto Queued = sendQueueBytes(Socket);
+  return Unwritten + Queued - (IsSendClosed && Queued > 0 ? 1 : 0);
 }
 
 bool caller_session::hasUnfinishedAnswer() {
@@ -417,13 +459,13 @@
   Socket.cancel(Ignored);
 }
 
-awaitable<void> caller_session::refuse(read_end End) {
+awaitable<bool> caller_session::refuse(read_end End) {
   http_reply Reply;
   switch (End) {
   case read_end::Whole:
   case read_end::Closed:
   case read_end::Idle:
-    co_return;
+    co_return false;
   case read_end::Slow:
     Reply = makeJsonReply(408, "{\"error\":\"slow-request\"}\n");
     break;
@@ -440,13 +482,8 @@
     Reply = makeJsonReply(503, "{\"error\":\"no-memory-for-body\"}\n");
     break;
   }
-  if (!co_await write(Reply, false, false))
-    co_return;
-  boost::system::error_code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  const auto Until = boot_clock::now() + LingerTimeout;
-  while (!IsClosed && co_await receive(Until))
-    Buffer.consume(Buffer.size());
+  co_await write(Reply, false, false);
+  co_return false;
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -113,12 +113,19 @@
   std::size_t unacknowledgedBytes();
   /** @returns true when the whole reply was written in time. */
   awaitable<bool> write(const http_reply &Reply, bool KeepAlive, bool IsHead);
+  /** Sends the error reply for @p End, if it has one.
+      @returns false: the connection is not kept */
+  awaitable<bool> refuse(read_end End);
+  /** Ends the connection so that the caller receives all of its answer: sends
+      no more, and waits until it has been received. */
+  awaitable<void> finish();
+  /** Reads and drops what the caller sends, until it closes its sending side or
+      for LingerTimeout after it has received everything. */
+  awaitable<void> dropInput();
   /** Ends the current operation of a caller that takes too long for its answer,
       until StallTimer is withdrawn. */
   void watchProgress();
   void checkProgress();
-  /** Sends the error reply for @p End, if it has one. */
-  awaitable<void> refuse(read_end End);
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
   read_end checkFraming(const incoming &Incoming) const;
   /** @returns the current configuration's limits, or the defaults. */
@@ -143,9 +150,10 @@
   bool IsIdle = false; ///< waits for the first byte of a request
   bool IsNew = true;   ///< no request has begun yet
   bool IsClosed = false;
-  bool IsReset = false;   ///< the caller reset the connection
-  bool IsStalled = false; ///< the caller took too long for its answer
-  bool IsServing = false; ///< a request has been read and is not answered
+  bool IsSendClosed = false; ///< the VM sends no more
+  bool IsReset = false;      ///< the caller reset the connection
+  bool IsStalled = false;    ///< the caller took too long for its answer
+  bool IsServing = false;    ///< a request has been read and is not answered
   bool IsUnfinishedNoted = false; ///< noteUnfinished() has counted the answer
 };
 
--- a/tests/ingress/answers_taken_test.cpp
+++ b/tests/ingress/answers_taken_test.cpp
@@ -18,6 +18,8 @@
 constexpr int SmallBuffer = 32 * 1024;
 // More than the buffers of a connection over loopback hold.
 constexpr std::size_t LongBytes = 16U * 1024 * 1024;
+// The VM's socket takes it at once, and its caller's does not.
+constexpr std::size_t BufferedBytes = 1024U * 1024;
 // Of an answer in the tests.
 constexpr std::size_t HeadBytes = 16;
 
@@ -65,6 +67,23 @@
   }
 }
 
+TEST_CASE("a planned stop does not cut an answer that is still on its way") {
+  ingress_fixture Fixture({answerWith(BufferedBytes)}, useGracePeriod);
+  raw_connection Caller(Fixture.callers(), SmallBuffer);
+  Caller.send(makeGet("r1", "Connection: close\r\n"));
+  auto Answer = Caller.readBytes(HeadBytes, ingress_fixture::LongWait);
+  auto Stopped = Fixture.stop();
+  SUBCASE("to a caller that keeps its connection open") {}
+  SUBCASE("to a caller that has ended its sending side") {
+    Caller.shutdownSend();
+  }
+  CHECK(Stopped.wait_for(AfterIdleTime) == std::future_status::timeout);
+  Answer += Caller.readToEnd(ingress_fixture::LongWait);
+  CHECK(bodyBytes(Answer) == BufferedBytes);
+  CHECK(Stopped.wait_for(ingress_fixture::LongWait) ==
+        std::future_status::ready);
+}
+
 TEST_CASE("a planned stop does not cut a request that is still being sent") {
   ingress_fixture Fixture({answerWith(HeadBytes)}, useGracePeriod);
   auto Stopped = Fixture.stop();
@@ -123,6 +142,18 @@
   }
 }
 
+TEST_CASE("bytes behind a request do not destroy the end of its answer") {
+  ingress_fixture Fixture({answerWith(BufferedBytes)}, useGracePeriod);
+  raw_connection Caller(Fixture.callers(), SmallBuffer);
+  Caller.send(makeGet("r1", "Connection: close\r\n"));
+  auto Answer = Caller.readBytes(HeadBytes, ingress_fixture::LongWait);
+  std::this_thread::sleep_for(milliseconds(100));
+  Caller.send("\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  Answer += Caller.readToEnd(ingress_fixture::LongWait);
+  CHECK(bodyBytes(Answer) == BufferedBytes);
+}
+
 TEST_CASE("a caller that takes its answer slowly gets all of it") {
   ingress_fixture Fixture({answerWith(LongBytes)});
   raw_connection Stalled(Fixture.callers(), SmallBuffer);
