An idle connection is not closed over a request that has come

What callers saw: the first request after a pause was reset unread, in a planned stop or at the idle timeout, though it had come before the connection was closed.

Cause: the wait for a request is cancelled to close the connection, and bytes that came since the event loop last looked at the socket stay unread. In a busy VM that is up to a pass of the loop. It was never passed on, but to its caller it is a request whose connection ended without an answer.

Now the socket is read once more before an idle connection is closed, and what came is served or refused.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -243,7 +243,7 @@
     if (IsClosed)
       co_return read_end::Closed;
     if (Context->IsClosingIdle && !IsNew)
-      co_return read_end::Idle;
+      break;
     // The caller is about to send a request, which is refused or served.
     if (Context->IsClosingIdle)
       Until = std::min(Until, OpenedAt + FirstRequestTime);
@@ -251,8 +251,13 @@
     const bool HasBytes = co_await receive(Until);
     IsIdle = false;
     if (!HasBytes && boot_clock::now() >= Until)
-      co_return read_end::Idle;
+      break;
   }
+  // A request may have come since the connection was last looked at.
+  if (Buffer.size() == 0)
+    readAvailable();
+  if (Buffer.size() == 0)
+    co_return IsClosed ? read_end::Closed : read_end::Idle;
   IsNew = false;
   co_return read_end::Whole;
 }
