Empty lines between requests are dropped

What callers saw: after an empty line behind a request, as some send behind a body, their connection got a 400 that answered nothing, and the next request on it met that and a closed connection.

Cause: the line was taken for the beginning of a request. RFC 9112, 2.2, asks servers to ignore it.

Test: 'an empty line behind a request does not fail the next one' failed before (129 bytes behind the first answer, no answer to the second). test_ingress: 66 of 66 cases.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -234,11 +234,21 @@
   Socket.cancel(Ignored);
 }
 
+// Some callers send an empty line behind a body, which belongs to no request
+// (RFC 9112, 2.2).
+void caller_session::dropEmptyLines() {
+  const auto Bytes = Buffer.cdata();
+  const std::string_view Text(static_cast<const char *>(Bytes.data()),
+                              Bytes.size());
+  Buffer.consume(std::min(Text.find_first_not_of("\r\n"), Text.size()));
+}
+
 awaitable<caller_session::read_end> caller_session::waitForFirstByte() {
   auto Until = boot_clock::now() + limits().IdleTimeout;
   // A body may have grown it to tens of kilobytes.
   if (Buffer.size() == 0 && Buffer.capacity() > HeadBytes)
     Buffer.shrink_to_fit();
+  dropEmptyLines();
   while (Buffer.size() == 0) {
     if (IsClosed)
       co_return read_end::Closed;
@@ -250,12 +260,14 @@
     IsIdle = true;
     const bool HasBytes = co_await receive(Until);
     IsIdle = false;
+    dropEmptyLines();
     if (!HasBytes && boot_clock::now() >= Until)
       break;
   }
   // A request may have come since the connection was last looked at.
   if (Buffer.size() == 0)
     readAvailable();
+  dropEmptyLines();
   if (Buffer.size() == 0)
     co_return IsClosed ? read_end::Closed : read_end::Idle;
   IsNew = false;
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -97,6 +97,8 @@
   awaitable<read_end> readRequest(incoming &Incoming);
   /** @returns Whole when a request has begun, else Closed or Idle. */
   awaitable<read_end> waitForFirstByte();
+  /** Drops empty lines in front of a request. */
+  void dropEmptyLines();
   /** Parses what is in the buffer. @returns why the request must be refused, or
       Whole, also when more bytes are needed */
   read_end parseBuffer(incoming &Incoming, bool &HasProgress);
--- a/tests/ingress/answers_taken_test.cpp
+++ b/tests/ingress/answers_taken_test.cpp
@@ -176,3 +176,16 @@
   CHECK(Stalled.isClosed());
   CHECK(bodyBytes(Part) < LongBytes);
 }
+
+TEST_CASE("an empty line behind a request does not fail the next one") {
+  ingress_fixture Fixture({answerWith(HeadBytes)});
+  raw_connection Caller(Fixture.callers());
+  Caller.send(makeGet("r1") + "\r\n");
+  const auto First = Caller.readToEnd(milliseconds(300));
+  CHECK(First.starts_with("HTTP/1.1 200 "));
+  CHECK(bodyBytes(First) == HeadBytes);
+  Caller.send("\r\n" + makeGet("r2"));
+  const auto Second = Caller.readToEnd(milliseconds(300));
+  CHECK(Second.starts_with("HTTP/1.1 200 "));
+  CHECK_FALSE(Caller.isClosed());
+}
