The HTTP server closes a connection when its reply says so

What callers saw: after a reply with 'Connection: close' the connection of a directory, control or VM-to-VM address stayed open until they closed it, up to the idle timeout of 60 s.

Cause: in the loop 'while (KeepAlive && co_await waitForRequest())' g++ 12 runs the wait also when KeepAlive is false; strace shows the read behind the reply. No other condition of the sources has a co_await behind && or ||.

The close that was missing would also have reset connections with input behind the request, as with callers of the ingress, so the server ends each connection as it ended those with an error reply: no more is sent, and input is dropped for a limited time.

Tests: 'the server closes a connection when its reply says so' failed before (open after 5 s), passes. 'bytes behind a request do not destroy the end of its reply' passes before and after: the connection was not closed at all. test_net: 11 of 11 cases.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -25,7 +25,7 @@
 // line. The body is bounded separately.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
-// Limits for reading and discarding input after an error reply. Closing a
+// Limits for reading and discarding input after the last reply. Closing a
 // socket with unread input resets the connection, which can lose the reply.
 constexpr std::size_t LingerBytes = 256 * 1024;
 constexpr std::chrono::milliseconds LingerTimeout{500};
@@ -238,14 +238,17 @@
 
   static awaitable<void> serve(std::shared_ptr<implementation> Self,
                                connection_pointer Connection) {
-    bool KeepAlive = true;
-    while (KeepAlive && co_await waitForRequest(*Self, *Connection)) {
+    // g++ 12 evaluates a co_await behind && in a loop's condition in any case.
+    for (bool KeepAlive = true; KeepAlive;) {
+      const bool HasRequest = co_await waitForRequest(*Self, *Connection);
+      if (!HasRequest)
+        break;
       Connection->Busy = true;
       KeepAlive = co_await serveOne(*Self, *Connection);
       Connection->Busy = false;
     }
-    boost::system::error_code Ignored;
-    Connection->Stream.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    Connection->Busy = true;
+    co_await finish(*Connection);
   }
 
   /** Waits for the first byte of the next request.
@@ -343,12 +346,13 @@
     co_return !Error;
   }
 
-  /** Sends an error reply, then discards input for a limited time. */
   static awaitable<void> refuse(connection &Connection, error_reply Error) {
-    if (Error.Status == 0)
-      co_return;
-    if (!co_await write(Connection, toBeast(makeErrorReply(Error), 11, false)))
-      co_return;
+    if (Error.Status != 0)
+      co_await write(Connection, toBeast(makeErrorReply(Error), 11, false));
+  }
+
+  /** Closes the sending side, then discards input for a limited time. */
+  static awaitable<void> finish(connection &Connection) {
     boost::system::error_code Ignored;
     Connection.Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     Connection.Stream.expires_after(LingerTimeout);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -228,6 +228,37 @@
   CHECK(Echo.servesOthers());
 }
 
+TEST_CASE("the server closes a connection when its reply says so") {
+  worker_pool Pool(1);
+  const auto Server = std::move(*http_server::start(
+      Pool, "127.0.0.1:0", [](const http_exchange &) -> awaitable<http_reply> {
+        co_return http_reply{200, {}, "whole"};
+      }));
+  raw_connection Caller(Server->localEndpoint());
+  Caller.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  CHECK(Caller.readToEnd(LongWait).ends_with("whole"));
+  CHECK(Caller.isClosed());
+}
+
+TEST_CASE("bytes behind a request do not destroy the end of its reply") {
+  // The server's socket takes it at once, and its caller's does not.
+  constexpr std::size_t ReplyBytes = 60 * 1024;
+  constexpr int SmallBuffer = 4 * 1024;
+  worker_pool Pool(1);
+  const auto Server = std::move(*http_server::start(
+      Pool, "127.0.0.1:0", [](const http_exchange &) -> awaitable<http_reply> {
+        co_return http_reply{200, {}, std::string(ReplyBytes, 'b')};
+      }));
+  raw_connection Caller(Server->localEndpoint(), SmallBuffer);
+  Caller.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  auto Reply = Caller.readBytes(16, LongWait);
+  std::this_thread::sleep_for(milliseconds(100));
+  Caller.send("\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  Reply += Caller.readToEnd(LongWait);
+  CHECK(Reply.size() > ReplyBytes);
+}
+
 TEST_CASE("a caller that disconnects during its request affects no other") {
   echo_server Echo;
   {
