--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -78,6 +78,13 @@
     bool IsHeaderChecked = false;
   };
 
+  /** How a caller takes the current answer. */
+  struct progress {
+    std::size_t Left = 0; ///< bytes, at the last check
+    time_point StallAt{}; ///< when it counts as gone without progress
+    time_point Until{};   ///< when it counts as gone in any case
+  };
+
   /** Waits for bytes and appends them to the buffer.
       @returns false when none came before @p Until, or after wake() */
   awaitable<bool> receive(time_point Until);
@@ -91,6 +98,8 @@
   awaitable<read_end> readRequest(incoming &Incoming);
   /** @returns Whole when a request has begun, else Closed or Idle. */
   awaitable<read_end> waitForFirstByte();
+  /** Drops empty lines in front of a request. */
+  void dropEmptyLines();
   /** Parses what is in the buffer. @returns why the request must be refused, or
       Whole, also when more bytes are needed */
   read_end parseBuffer(incoming &Incoming, bool &HasProgress);
@@ -107,8 +116,19 @@
   std::size_t unacknowledgedBytes();
   /** @returns true when the whole reply was written in time. */
   awaitable<bool> write(const http_reply &Reply, bool KeepAlive, bool IsHead);
-  /** Sends the error reply for @p End, if it has one. */
-  awaitable<void> refuse(read_end End);
+  /** Sends the error reply for @p End, if it has one.
+      @returns false: the connection is not kept */
+  awaitable<bool> refuse(read_end End);
+  /** Ends the connection so that the caller receives all of its answer: sends
+      no more, and waits until it has been received. */
+  awaitable<void> finish();
+  /** Reads and drops what the caller sends, until it closes its sending side or
+      for LingerTimeout after it has received everything. */
+  awaitable<void> dropInput();
+  /** Ends the current operation of a caller that takes too long for its answer,
+      until StallTimer is withdrawn. */
+  void watchProgress();
+  void checkProgress();
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
   read_end checkFraming(const incoming &Incoming) const;
   /** @returns the current configuration's limits, or the defaults. */
@@ -125,15 +145,18 @@
   time_point OpenedAt = boot_clock::now();
   std::string RequestId; ///< of the latest request that was read
   std::size_t Unwritten =
-      0;                    ///< bytes of the answer, not in the socket's buffer
+      0; ///< bytes of the answer, not in the socket's buffer
+  progress Progress;
+  deadline_queue::registration StallTimer; ///< of checkProgress()
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
   bool IsIdle = false; ///< waits for the first byte of a request
   bool IsNew = true;   ///< no request has begun yet
   bool IsClosed = false;
-  bool IsReset = false;   ///< the caller reset the connection
-  bool IsStalled = false; ///< the caller took too long for its answer
-  bool IsServing = false; ///< a request has been read and is not answered
+  bool IsSendClosed = false; ///< the VM sends no more
+  bool IsReset = false;      ///< the caller reset the connection
+  bool IsStalled = false;    ///< the caller took too long for its answer
+  bool IsServing = false;    ///< a request has been read and is not answered
   bool IsUnfinishedNoted = false; ///< noteUnfinished() has counted the answer
 };
 
