The beginning of a cut answer is not taken together with the next one

An endpoint sent the cut beginning of an earlier refusal late, before its answer to the next order, which it had run.

Cause: after a cut in a reason phrase or a field's value, the status line of the next answer is part of that text, and its fields follow as further fields of the cut head. The VM believed status and 'not run' of the copy with the id of the proper answer. Only heads with two ids were rejected.

Ruled out: bytes that could be read before the request was sent; such connections are not used.

Change: a head with a status line in its reason phrase or in a field's value is malformed: the outcome is unknown (502), another endpoint only on routes that allow it. It is checked before the body. Fields after a chunked body are checked as well and dropped; they had been taken for fields of the head, and a 'not run' among them was believed.

--- a/include/sesamepaddle/net/http_message.h
+++ b/include/sesamepaddle/net/http_message.h
@@ -51,6 +51,14 @@
 /** @returns a reply with a JSON body. */
 http_reply makeJsonReply(unsigned Status, std::string Json);
 
+/** @returns true when @p Text contains the status line of an HTTP/1 message.
+    A reason phrase or field value that does shows that the head of a truncated
+    message continues with the next message. */
+bool containsStatusLine(std::string_view Text);
+
+/** @returns true when a field value in @p Headers contains a status line. */
+bool containsStatusLine(const http_headers &Headers);
+
 /** @returns the path of @p Target without its query. */
 std::string_view targetPath(std::string_view Target);
 
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -55,16 +55,30 @@
   return absl::SimpleAtoi(toAbsl(Digits), &Seconds) ? Seconds : 0;
 }
 
-http_reply fromBeast(http::response<http::string_body> &&Message) {
+/** @returns the status and the fields of @p Message. */
+http_reply headOf(const http::response<http::string_body> &Message) {
   http_reply Reply;
   Reply.Status = Message.result_int();
   for (const auto &Field : Message)
     Reply.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
-  Reply.Body = std::move(Message.body());
   return Reply;
 }
 
+/** @returns why the fields of @p Message, of which @p Head has been made, can't
+    be those of one message, or an empty view. */
+std::string_view findMixture(const http::response<http::string_body> &Message,
+                             const http_reply &Head,
+                             const std::string &RequestIdField) {
+  if (Message.count(RequestIdField) > 1)
+    return "several request ids";
+  const auto Reason = Message.reason();
+  if (containsStatusLine({Reason.data(), Reason.size()}) ||
+      containsStatusLine(Head.Headers))
+    return "a status line within the head";
+  return {};
+}
+
 } // namespace
 
 struct upstream_pool::connection {
@@ -266,17 +280,21 @@
   return Used > 0;
 }
 
-/** Reads one message. Further bytes stay in @p Buffer. */
-awaitable<boost::system::error_code> read(tcp::socket &Socket,
-                                          boost::beast::flat_buffer &Buffer,
-                                          answer_parser &Parser,
-                                          body_memory::holding &Memory) {
+enum class message_part : std::uint8_t { Head, Whole };
+
+/** Reads one message up to the end of @p Part. Further bytes stay in @p Buffer.
+ */
+awaitable<boost::system::error_code>
+read(tcp::socket &Socket, boost::beast::flat_buffer &Buffer,
+     answer_parser &Parser, body_memory::holding &Memory, message_part Part) {
   boost::system::error_code Error;
-  Parser.eager(true);
+  Parser.eager(Part == message_part::Whole);
   for (;;) {
     if (Buffer.size() > 0)
       parse(Parser, Buffer, Memory, Error);
-    if (Error || Parser.is_done())
+    const bool IsRead =
+        Part == message_part::Head ? Parser.is_header_done() : Parser.is_done();
+    if (Error || IsRead)
       co_return Error;
     const auto Wanted = Parser.is_header_done() ? BodyReadBytes : HeadReadBytes;
     const std::size_t Bytes = co_await Socket.async_read_some(
@@ -324,8 +342,20 @@
           Connection->close();
           std::string().swap(Parser.get().body());
         });
-    auto Error =
-        co_await read(Connection->Socket, Connection->Buffer, Parser, *Memory);
+    auto Error = co_await read(Connection->Socket, Connection->Buffer, Parser,
+                               *Memory, message_part::Head);
+    const auto &Message = Parser.get();
+    // Later fields, in a trailer, say nothing of the request.
+    auto Reply = headOf(Message);
+    // The head of a cut answer may continue with another answer.
+    auto Mixture = findMixture(Message, Reply, RequestIdField);
+    if (!Error && Mixture.empty() && !Parser.is_done()) {
+      Error = co_await read(Connection->Socket, Connection->Buffer, Parser,
+                            *Memory, message_part::Whole);
+      // Of the trailer.
+      if (Parser.chunked())
+        Mixture = findMixture(Message, headOf(Message), RequestIdField);
+    }
     if (Memory->isGivenUp())
       Error = asio::error::no_memory;
     if (Error) {
@@ -333,14 +363,12 @@
       Result.Detail = Error.message();
       co_return Result;
     }
-    Memory->setWhole();
-    const auto &Message = Parser.get();
-    // The head of a cut answer may continue with another answer.
-    if (Message.count(RequestIdField) > 1) {
+    if (!Mixture.empty()) {
       Result.End = exchange_end::Malformed;
-      Result.Detail = "several request ids";
+      Result.Detail = Mixture;
       co_return Result;
     }
+    Memory->setWhole();
     const auto Field = Message.find(RequestIdField);
     const bool HasId = Field != Message.end();
     const bool IsInterim = Message.result_int() < 200;
@@ -374,7 +402,8 @@
     }
     Result.End = exchange_end::Answered;
     Result.HasRequestId = HasId;
-    Result.Reply = fromBeast(Parser.release());
+    Result.Reply = std::move(Reply);
+    Result.Reply.Body = std::move(Parser.get().body());
     Result.Memory = Memory;
     co_return Result;
   }
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -102,6 +102,34 @@
   return {Status, {{"Content-Type", "application/json"}}, std::move(Json)};
 }
 
+bool containsStatusLine(std::string_view Text) {
+  constexpr std::string_view Version = "HTTP/1.";
+  // A digit of the version, a space and the digits of the status.
+  constexpr std::string_view Shape = "0 000";
+  const auto IsDigit = [](char Byte) {
+    return absl::ascii_isdigit(static_cast<unsigned char>(Byte));
+  };
+  for (auto Start = Text.find(Version); Start != std::string_view::npos;
+       Start = Text.find(Version, Start + 1)) {
+    const auto Rest = Text.substr(Start + Version.size());
+    const bool HasShape =
+        Rest.size() >= Shape.size() &&
+        std::equal(Shape.begin(), Shape.end(), Rest.begin(),
+                   [&](char Expected, char Byte) {
+                     return Expected == ' ' ? Byte == ' ' : IsDigit(Byte);
+                   });
+    if (HasShape && (Rest.size() == Shape.size() || Rest[Shape.size()] == ' '))
+      return true;
+  }
+  return false;
+}
+
+bool containsStatusLine(const http_headers &Headers) {
+  return std::any_of(Headers.begin(), Headers.end(), [](const auto &Header) {
+    return containsStatusLine(std::string_view(Header.Value));
+  });
+}
+
 std::string_view targetPath(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
