Replies of the store and of VMs that follow a cut one are malformed

What could be seen: http_client took the cut beginning of a reply and the next reply for one, as the pool of endpoints' connections did.

Change: the same check of reason phrase and fields, before the body, and no fields of a trailer among those of the head.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -109,13 +109,13 @@
   return HasNoBody || Parser.chunked() || Parser.content_length().has_value();
 }
 
-http_reply fromBeast(http::response<http::string_body> &&Message) {
+/** @returns the status and the fields of @p Message. */
+http_reply headOf(const http::response<http::string_body> &Message) {
   http_reply Reply;
   Reply.Status = Message.result_int();
   for (const auto &Field : Message)
     Reply.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
-  Reply.Body = std::move(Message.body());
   return Reply;
 }
 
@@ -309,6 +309,14 @@
   if (!Error && !hasKnownLength(Parser, Request.Method))
     co_return makeFailure(net_failure::MalformedMessage,
                           formatEndpoint(Server) + ": reply without a length");
+  // Without the fields of a trailer.
+  auto Reply = headOf(Parser.get());
+  const auto Reason = Parser.get().reason();
+  if (!Error && (containsStatusLine({Reason.data(), Reason.size()}) ||
+                 containsStatusLine(Reply.Headers)))
+    co_return makeFailure(net_failure::MalformedMessage,
+                          formatEndpoint(Server) +
+                              ": a status line within the head");
   if (!Error)
     Error = co_await readBody(Stream, Buffer, Parser, Memory);
   if (Error)
@@ -322,7 +330,8 @@
     Stream.expires_never();
     Connection = std::move(Used);
   }
-  co_return fromBeast(Parser.release());
+  Reply.Body = std::move(Parser.get().body());
+  co_return Reply;
 }
 
 awaitable<absl::StatusOr<http_reply>>
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -189,3 +189,34 @@
     }
   }
 }
+
+// The store or a VM in trouble may send the beginning of another reply before
+// the proper one.
+TEST_CASE("the cut beginning of a reply and the next reply are not taken for "
+          "one, wherever it is cut") {
+  unresponsive_server Server;
+  test_client Caller;
+  const std::string Copy = "HTTP/1.1 412 Precondition Failed\r\n"
+                           "Date: Sat, 05 Dec 2026 16:00:00 GMT\r\n\r\n";
+  const std::string Proper =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+  for (std::size_t Cut = 1; Cut < Copy.size(); ++Cut) {
+    CAPTURE(Copy.substr(0, Cut));
+    Server.CutReply = Copy.substr(0, Cut) + Proper;
+    const auto Reply = Caller.call(Server, connection_choice::Fresh);
+    CHECK(isFailure(Reply.status(), net_failure::MalformedMessage));
+  }
+  Server.CutReply = Proper;
+  CHECK(Caller.call(Server, connection_choice::Fresh).ok());
+}
+
+TEST_CASE("the fields after a chunked reply are not those of its head") {
+  unresponsive_server Server;
+  test_client Caller;
+  Server.CutReply = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nwhole\r\n0\r\nRetry-After: 5\r\n\r\n";
+  const auto Reply = Caller.call(Server, connection_choice::Fresh);
+  REQUIRE(Reply.ok());
+  CHECK(Reply->Body == "whole");
+  CHECK(findHeader(Reply->Headers, "Retry-After").empty());
+}
