Bytes between VMs and endpoints are counted by kind and distance

What a deployment pays for bytes between failure domains could not be accounted for: no figure told what they are. A VM counts what it sends, and the answers to that, so that the fleet's sum has each byte once. Bytes of callers are not in it, as their place is unknown.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -6,6 +6,7 @@
 #include "sesamepaddle/admission/workspace_quota.h"
 #include "sesamepaddle/ingress/ingress_options.h"
 #include "sesamepaddle/ingress/stop_schedule.h"
+#include "sesamepaddle/ingress/traffic_counter.h"
 #include "sesamepaddle/load_balancing/endpoint_registry.h"
 #include "sesamepaddle/load_balancing/placement.h"
 #include "sesamepaddle/moves/fleet_rollout.h"
@@ -143,6 +144,11 @@
     return Vm.Region == Options.Vm.Region;
   }
 
+  /** @returns how far this VM is from one in @p Region and @p Domain. */
+  traffic_distance distanceTo(const region_name &Region,
+                              const failure_domain_name &Domain) const;
+  traffic_counter &traffic() { return Traffic; }
+
   /** @returns the interval between gossip messages to each near VM, or to each
       far one. It grows with their number, so that the total rate is bounded. */
   std::chrono::milliseconds messageInterval(bool ToNear) const;
@@ -257,6 +263,7 @@
   std::map<vm_name, time_point> AvoidedReaders; ///< end of exclusion
   std::map<vm_name, vm_loads> VmLoads;
   row_freshness Rows;
+  traffic_counter Traffic;
   std::optional<stop_schedule> Stop;
   bool IsStoreLost = false;
   bool AreVmsListed = false;
--- a/include/sesamepaddle/ingress/ingress.h
+++ b/include/sesamepaddle/ingress/ingress.h
@@ -13,5 +13,6 @@
 #include "sesamepaddle/ingress/refresh_schedule.h"
 #include "sesamepaddle/ingress/row_freshness.h"
 #include "sesamepaddle/ingress/stop_schedule.h"
+#include "sesamepaddle/ingress/traffic_counter.h"
 
 #endif
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -255,6 +255,18 @@
   return Vms.size() < SmallFleetVms || isNear(Vm);
 }
 
+traffic_distance
+fleet_state::distanceTo(const region_name &Region,
+                        const failure_domain_name &Domain) const {
+  if (Region.empty())
+    return traffic_distance::Unknown;
+  if (Region != Options.Vm.Region)
+    return traffic_distance::OtherRegion;
+  return Domain == Options.Vm.FailureDomain
+             ? traffic_distance::SameFailureDomain
+             : traffic_distance::SameRegion;
+}
+
 // Asked for each VM whenever VMs are chosen, so the VMs are not counted here.
 std::chrono::milliseconds fleet_state::messageInterval(bool ToNear) const {
   const std::size_t Count = ToNear ? NearVms : Vms.size() - NearVms;
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -193,7 +193,8 @@
 
   std::string metricsText() {
     return absl::StrCat(
-        Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
+        Metrics.prometheusText(), Fleet.traffic().prometheusText(),
+        "sesamepaddle_connections ", Sessions->Open,
         "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
         "\nsesamepaddle_answers_in_progress ", countUnfinished(),
         "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t MaxKnownObjectUpdates = 256;
 // Time from a lost connection until a crashed endpoint refuses new connections.
 constexpr milliseconds CrashSettleTime{30};
+// Bytes of a header field besides its name and value.
+constexpr std::size_t FieldSeparatorBytes = 4;
 // Bound on the random time added to Retry-After, so that callers that were
 // refused at the same moment do not retry at the same moment.
 constexpr double RetrySpreadSeconds = 0.25;
@@ -383,6 +385,7 @@
   --Endpoint->InFlight;
   State.IsLateCounted = Entry->IsCounted;
   Sent.erase(Entry);
+  countTraffic(Record, *Request, Result);
   const bool IsSuspicious = Result.End == exchange_end::Lost ||
                             Result.End == exchange_end::TimedOut ||
                             Result.End == exchange_end::Malformed ||
@@ -396,6 +399,23 @@
   co_return Result;
 }
 
+void request_path::countTraffic(const endpoint_record &Record,
+                                const upstream_request &Request,
+                                const exchange_result &Result) {
+  if (Result.End == exchange_end::NotConnected ||
+      Result.End == exchange_end::Withdrawn)
+    return;
+  const auto Distance = Fleet.distanceTo(Record.Region, Record.FailureDomain);
+  Fleet.traffic().add(traffic_kind::EndpointRequest, Distance,
+                      Request.Head.size() + Request.Body.size());
+  if (Result.End != exchange_end::Answered)
+    return;
+  std::size_t Bytes = Result.Reply.Body.size();
+  for (const auto &Field : Result.Reply.Headers)
+    Bytes += Field.Name.size() + Field.Value.size() + FieldSeparatorBytes;
+  Fleet.traffic().add(traffic_kind::EndpointAnswer, Distance, Bytes);
+}
+
 // When a connection ended before the answer, either only the connection failed
 // or the endpoint crashed. Only a crash is evidence against the request. A
 // crashed endpoint accepts no connections for a while.
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -119,6 +119,9 @@
       @param WasSent  false when the last attempt did not reach its endpoint;
                       then it costs neither an attempt nor the retry budget */
   bool mayRetry(request_state &State, bool WasSent);
+  void countTraffic(const endpoint_record &Record,
+                    const upstream_request &Request,
+                    const exchange_result &Result);
   /** Reports a crash if @p Endpoint accepts no connection after it lost one. */
   awaitable<void> verifyCrash(endpoint_pointer Endpoint,
                               std::string Fingerprint);
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -268,19 +268,20 @@
     const bool IsLongSilent = Now - Vm.LastHeard > LongSilence;
     if (IsLongSilent && !IsNeverHeard && Round % SilentVmRounds != 0)
       continue;
-    if (IsNeverHeard)
-      sendTo(Vm.GossipAddress, Asking);
-    else
-      sendTo(Vm.GossipAddress, IsNear ? ToNear : ToFar);
+    const auto &Text = IsNear ? ToNear : ToFar;
+    sendTo(Vm.GossipAddress, IsNeverHeard ? Asking : Text, traffic_kind::Gossip,
+           Fleet.distanceTo(Vm.Region, Vm.FailureDomain));
   }
   if (Fleet.vms().empty())
     for (const auto &Address : Fleet.options().Vm.SeedGossipAddresses)
       if (Address != Fleet.options().Vm.GossipAddress)
-        sendTo(Address, Asking);
+        sendTo(Address, Asking, traffic_kind::Gossip,
+               traffic_distance::Unknown);
 }
 
-void vm_gossip::sendTo(const std::string &Address,
-                       const std::string &Datagram) {
+void vm_gossip::sendTo(const std::string &Address, const std::string &Datagram,
+                       traffic_kind Kind, traffic_distance Distance) {
+  Fleet.traffic().add(Kind, Distance, Datagram.size());
   const auto Endpoint = parseUdp(Address);
   boost::system::error_code Error;
   if (Endpoint && Socket.is_open())
@@ -339,7 +340,9 @@
                              Ask.IsNear ? NearAnswerTimeout : FarAnswerTimeout);
   OpenAsks[Message.AskId] = {Ask.Home, Workspace.str(), Now, &Overdue,
                              &IsHomeEmpty};
-  sendTo(Home->second.GossipAddress, encodeTokens(Message));
+  sendTo(Home->second.GossipAddress, encodeTokens(Message),
+         traffic_kind::Tokens,
+         Fleet.distanceTo(Home->second.Region, Home->second.FailureDomain));
   boost::system::error_code Error;
   co_await Overdue.async_wait(asio::redirect_error(asio::use_awaitable, Error));
   Fleet.quota().endAsk(Workspace);
@@ -366,7 +369,12 @@
   Answer.Tokens = static_cast<float>(Grant.Tokens);
   Answer.RefuseForMs = static_cast<std::uint32_t>(Grant.RefuseFor.count());
   Answer.IsHome = Grant.IsHome;
-  sendTo(Ask.ReplyAddress, encodeTokens(Answer));
+  const auto Asker = Fleet.vms().find(vm_name(Ask.Sender));
+  sendTo(Ask.ReplyAddress, encodeTokens(Answer), traffic_kind::Tokens,
+         Asker == Fleet.vms().end()
+             ? traffic_distance::Unknown
+             : Fleet.distanceTo(Asker->second.Region,
+                                Asker->second.FailureDomain));
 }
 
 // An answer that arrives twice, or that was not asked for, brings no tokens.
@@ -461,7 +469,8 @@
   if (KnowsNobody || (KnowsFew && IsDetailSender()))
     for (const auto &[Name, Known] : Fleet.vms())
       Reply.Vms.push_back({Name.str(), Known.GossipAddress});
-  sendTo(Message.GossipAddress, encodeGossip(Reply));
+  sendTo(Message.GossipAddress, encodeGossip(Reply), traffic_kind::Gossip,
+         Fleet.distanceTo(Vm.Region, Vm.FailureDomain));
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -50,7 +50,8 @@
   void send(time_point Now, bool ToAll);
   static std::vector<gossip_known_objects>
   groupByEndpoint(const std::vector<request_path::known_object> &Updates);
-  void sendTo(const std::string &Address, const std::string &Datagram);
+  void sendTo(const std::string &Address, const std::string &Datagram,
+              traffic_kind Kind, traffic_distance Distance);
   void applyMessage(const gossip_message &Message, time_point Now);
   void answerAsk(const token_message &Message, time_point Now);
   void receiveGrant(const token_message &Message, time_point Now);
