Gossip to another failure domain goes to one VM there, which forwards it

What callers and the deployment paid: each VM sent its message to every VM of its region, and of the others, by itself.

Now a message goes to one VM of each other failure domain, another one in each round, which passes it on there; the VMs of the own domain get it directly, at the same intervals as before. Nothing is elected: a forwarder that is gone costs its domain one round. Silent VMs, and news that must not be late (readiness, crashes, a faulty version), are sent to each VM as before; so is all where fewer than four VMs of a domain are heard.

Messages have a sequence number, since a forwarded one may arrive after a later one: what an older message or a former process says of its VM is dropped, what it says once (crashes, objects) is kept. A VM that was held up forwards nothing until it has read what waited in its socket, as that would make its senders appear alive.

Weighed: a fixed forwarder for each domain (an election, and its loss cuts a domain off), slower messages (loads and health get older), sums of a domain (a larger change; open).

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -26,6 +26,9 @@
 struct known_vm {
   vm_name Name;
   incarnation Incarnation{};
+  /** The process before this one; its messages may still arrive. */
+  incarnation PreviousIncarnation{};
+  std::uint64_t Sequence = 0; ///< of its latest message
   region_name Region;
   failure_domain_name FailureDomain;
   std::string CallerAddress;
@@ -112,6 +115,10 @@
   /** Excludes a reader that did not answer from selection for a short time. */
   void avoidReader(const vm_name &Name, time_point Now);
 
+  /** @returns true when a message with these numbers was sent before one that
+      arrived already. */
+  bool isSuperseded(const vm_name &Vm, incarnation Incarnation,
+                    std::uint64_t Sequence) const;
   /** Stores what a message of another VM said about it. Ignored when it bears
       this VM's own name. */
   void applyVm(known_vm Vm);
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -333,8 +333,23 @@
     ++NearVms;
   const auto FirstKnown =
       Known.FirstKnown == time_point{} ? Vm.LastHeard : Known.FirstKnown;
+  const auto Previous = Known.Incarnation == Vm.Incarnation
+                            ? Known.PreviousIncarnation
+                            : Known.Incarnation;
   Known = std::move(Vm);
   Known.FirstKnown = FirstKnown;
+  Known.PreviousIncarnation = Previous;
+}
+
+bool fleet_state::isSuperseded(const vm_name &Vm, incarnation Incarnation,
+                               std::uint64_t Sequence) const {
+  const auto Found = Vms.find(Vm);
+  if (Found == Vms.end() || Found->second.LastHeard == time_point{})
+    return false;
+  const auto &Known = Found->second;
+  return Known.Incarnation == Incarnation
+             ? Sequence < Known.Sequence
+             : Known.PreviousIncarnation == Incarnation;
 }
 
 void fleet_state::learnVm(known_vm Vm) {
--- a/src/ingress/gossip_message.cpp
+++ b/src/ingress/gossip_message.cpp
@@ -6,7 +6,7 @@
 
 // Versions of the two message formats, equal to the defaults of their Format
 // fields. Messages of other versions are dropped.
-constexpr std::uint8_t GossipFormat = 6;
+constexpr std::uint8_t GossipFormat = 7;
 constexpr std::uint8_t TokenFormat = 3;
 // Bound on the elements of an array or a map. A datagram may claim more
 // elements than fit into it; it is rejected before memory is allocated for
--- a/src/ingress/gossip_message.h
+++ b/src/ingress/gossip_message.h
@@ -75,7 +75,7 @@
 
 /** The state that a VM sends to the other VMs, in one datagram. */
 struct gossip_message {
-  std::uint8_t Format = 6;
+  std::uint8_t Format = 7;
   std::string Name;
   std::uint64_t Incarnation = 0;
   std::string Region;
@@ -95,11 +95,13 @@
   std::vector<gossip_load> Loads;
   std::vector<gossip_known_objects> Known;
   std::vector<gossip_vm> Vms;
-  std::uint32_t Cores = 0; ///< hundredths of a core; 0: unknown
+  std::uint32_t Cores = 0;    ///< hundredths of a core; 0: unknown
+  std::uint64_t Sequence = 0; ///< rises with each message of a process
+  bool MustForward = false;   ///< to the VMs of the receiver's failure domain
   MSGPACK_DEFINE(Format, Name, Incarnation, Region, FailureDomain,
                  CallerAddress, GossipAddress, PeerHttpAddress, IsReady, IsBusy,
                  IsStoreLost, WantsReply, KnownVms, UptimeMs, Rollouts, Crashes,
-                 Health, Loads, Known, Vms, Cores)
+                 Health, Loads, Known, Vms, Cores, Sequence, MustForward)
 };
 
 /** Asks the home of a workspace's limit for tokens, or is its answer. */
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -206,6 +206,7 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
+        "\nsesamepaddle_gossip_not_forwarded ", Gossip->notForwarded(),
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
         "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
@@ -291,6 +292,7 @@
           asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
       Sessions->Monitor->noteTick(Now, Now + TickInterval);
+      Gossip->noteTick(Now);
       if (TickCount % QuotaTicks == 0)
         updateQuota(Now);
       logOutdatedRows(Now);
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -1,5 +1,6 @@
 #include "ingress/vm_gossip.h"
 
+#include "ingress/gossip_recipients.h"
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_server.h"
 #include "sesamepaddle/net/supervised_loop.h"
@@ -21,10 +22,6 @@
 // be known everywhere before many requests run into it.
 constexpr milliseconds UrgentInterval{150};
 constexpr double UrgentMessagesPerSecond = 100;
-// A VM that has been silent for this long gets a message only in every
-// SilentVmRounds-th round.
-constexpr std::chrono::seconds LongSilence{8};
-constexpr int SilentVmRounds = 8;
 // Crashes that are queued for the next message.
 constexpr std::size_t MaxCrashes = 16;
 // A VM that has just started asks all others for a message. On average this
@@ -43,6 +40,10 @@
 // An answer that comes later than this is dropped: its tokens have expired.
 constexpr milliseconds AnswerLifetime{1'000};
 constexpr std::size_t MaxOpenAsks = 256;
+// A VM whose periodic task, every 100 ms, is later than this has been held up.
+constexpr milliseconds HeldUpTime{400};
+// Time in which a VM that was held up reads the messages that have waited.
+constexpr milliseconds BacklogTime{500};
 
 std::uint32_t toHundredths(double Value) {
   return static_cast<std::uint32_t>(std::lround(std::max(0.0, Value) * 100));
@@ -88,6 +89,19 @@
   return Message;
 }
 
+/** A message in its two forms. */
+struct encoded_message {
+  std::string Plain;
+  std::string ToForward; ///< to a VM that forwards it
+};
+
+encoded_message encodeBoth(gossip_message &Message) {
+  Message.MustForward = true;
+  auto ToForward = encodeGossip(Message);
+  Message.MustForward = false;
+  return {encodeGossip(Message), std::move(ToForward)};
+}
+
 } // namespace
 
 vm_gossip::vm_gossip(asio::io_context &Context, fleet_state &Fleet,
@@ -142,7 +156,13 @@
   Timer.cancel();
 }
 
-void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll); }
+void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll, !ToAll); }
+
+void vm_gossip::noteTick(time_point Now) {
+  if (Now - LastTick > HeldUpTime)
+    BacklogUntil = Now + BacklogTime;
+  LastTick = Now;
+}
 
 milliseconds vm_gossip::interval() const {
   for (const auto &[Service, Rollout] : Fleet.rollouts())
@@ -187,7 +207,7 @@
     const bool IsFarDue = IsUrgent || Now >= NextFarSend;
     if (IsFarDue)
       NextFarSend = Now + Fleet.messageInterval(false);
-    send(Now, IsFarDue);
+    send(Now, IsFarDue, true);
     boost::system::error_code Error;
     Timer.expires_after(interval());
     co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
@@ -206,6 +226,7 @@
   Message.PeerHttpAddress = Vm.PeerHttpAddress;
   Message.IsStoreLost = Fleet.isStoreLost();
   Message.Cores = toHundredths(Vm.Cores);
+  Message.Sequence = ++LastSequence;
   Message.IsReady = !Fleet.isStopping() && Fleet.configuration() != nullptr;
   Message.IsBusy = Fleet.overload().isBusy(Now);
   Message.KnownVms = static_cast<std::uint32_t>(Fleet.vms().size());
@@ -241,7 +262,7 @@
 
 // Far VMs get messages less often; each contains the known objects that were
 // sent to near VMs since the previous one.
-void vm_gossip::send(time_point Now, bool ToAll) {
+void vm_gossip::send(time_point Now, bool ToAll, bool MayForward) {
   ++Round;
   auto Message = makeMessage(Now);
   const auto Updates = Path.takeKnownObjectUpdates();
@@ -252,25 +273,22 @@
       Updates.begin() +
           static_cast<std::ptrdiff_t>(std::min(Room, Updates.size())));
   Message.Known = groupByEndpoint(Updates);
-  const auto ToNear = encodeGossip(Message);
-  std::string ToFar;
+  const auto ToNear = encodeBoth(Message);
+  encoded_message ToFar;
   if (ToAll) {
     Message.Known = groupByEndpoint(std::exchange(FarObjectUpdates, {}));
-    ToFar = encodeGossip(Message);
+    ToFar = encodeBoth(Message);
   }
   Message.WantsReply = true;
   const auto Asking = encodeGossip(Message);
-  for (const auto &[Name, Vm] : Fleet.vms()) {
-    const bool IsNear = Fleet.isNear(Vm);
-    if (!ToAll && !IsNear)
-      continue;
-    const bool IsNeverHeard = Vm.LastHeard == time_point{};
-    const bool IsLongSilent = Now - Vm.LastHeard > LongSilence;
-    if (IsLongSilent && !IsNeverHeard && Round % SilentVmRounds != 0)
-      continue;
-    const auto &Text = IsNear ? ToNear : ToFar;
-    sendTo(Vm.GossipAddress, IsNeverHeard ? Asking : Text, traffic_kind::Gossip,
-           Fleet.distanceTo(Vm.Region, Vm.FailureDomain));
+  for (const auto &[Vm, MustForward] :
+       chooseRecipients(Fleet, Round, ToAll, MayForward, Now)) {
+    const auto &Text = Fleet.isNear(*Vm) ? ToNear : ToFar;
+    const bool IsNeverHeard = Vm->LastHeard == time_point{};
+    const auto &Datagram = MustForward ? Text.ToForward : Text.Plain;
+    sendTo(Vm->GossipAddress, IsNeverHeard ? Asking : Datagram,
+           traffic_kind::Gossip,
+           Fleet.distanceTo(Vm->Region, Vm->FailureDomain));
   }
   if (Fleet.vms().empty())
     for (const auto &Address : Fleet.options().Vm.SeedGossipAddresses)
@@ -395,9 +413,53 @@
   Ask.Overdue->cancel();
 }
 
+// A VM that has been held up reads messages that have waited in its socket.
+// Forwarding these would make their senders appear alive.
+void vm_gossip::forward(gossip_message Message, time_point Now) {
+  if (Now - LastTick > HeldUpTime)
+    BacklogUntil = Now + BacklogTime;
+  if (Now < BacklogUntil) {
+    ++NotForwarded;
+    return;
+  }
+  Message.MustForward = false;
+  const auto Datagram = encodeGossip(Message);
+  for (const auto *Vm : chooseForwardees(Fleet, vm_name(Message.Name), Now))
+    sendTo(Vm->GossipAddress, Datagram, traffic_kind::Gossip,
+           traffic_distance::SameFailureDomain);
+}
+
 void vm_gossip::applyMessage(const gossip_message &Message, time_point Now) {
   if (Message.Name == Fleet.options().Vm.Name.str())
     return;
+  applyIncrements(Message, Now);
+  if (!Fleet.isSuperseded(vm_name(Message.Name),
+                          static_cast<incarnation>(Message.Incarnation),
+                          Message.Sequence))
+    applyState(Message, Now);
+  if (Message.MustForward)
+    forward(Message, Now);
+  if (Message.WantsReply)
+    reply(Message, Now);
+}
+
+// What a message says once and no later one repeats.
+void vm_gossip::applyIncrements(const gossip_message &Message, time_point Now) {
+  for (const auto &Known : Message.Known)
+    if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
+      for (const auto Object : Known.Objects)
+        Endpoint->addKnownObject(Object, Now);
+  for (const auto &Crash : Message.Crashes)
+    Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
+  for (const auto &Known : Message.Vms) {
+    known_vm Learned;
+    Learned.Name = vm_name(Known.Name);
+    Learned.GossipAddress = Known.Address;
+    Fleet.learnVm(std::move(Learned));
+  }
+}
+
+void vm_gossip::applyState(const gossip_message &Message, time_point Now) {
   const auto Before = Fleet.vms().find(vm_name(Message.Name));
   const bool IsNew = Before == Fleet.vms().end() ||
                      static_cast<std::uint64_t>(Before->second.Incarnation) !=
@@ -408,6 +470,7 @@
   known_vm Vm;
   Vm.Name = vm_name(Message.Name);
   Vm.Incarnation = static_cast<incarnation>(Message.Incarnation);
+  Vm.Sequence = Message.Sequence;
   Vm.Region = region_name(Message.Region);
   Vm.FailureDomain = failure_domain_name(Message.FailureDomain);
   Vm.CallerAddress = Message.CallerAddress;
@@ -430,25 +493,14 @@
   for (const auto &Load : Message.Loads)
     Loads.push_back({Load.Endpoint, Load.InFlight});
   Fleet.applyLoads(Vm.Name, std::move(Loads), Now);
-  for (const auto &Known : Message.Known)
-    if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
-      for (const auto Object : Known.Objects)
-        Endpoint->addKnownObject(Object, Now);
   for (const auto &Seen : Message.Health)
     if (const auto Endpoint = Fleet.endpoints().findByHash(Seen.Endpoint))
       Endpoint->Health.applyPeer(
           Message.Name, {fromHundredths(Seen.Good), fromHundredths(Seen.Bad)},
           Now);
-  for (const auto &Crash : Message.Crashes)
-    Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
-  for (const auto &Known : Message.Vms) {
-    known_vm Learned;
-    Learned.Name = vm_name(Known.Name);
-    Learned.GossipAddress = Known.Address;
-    Fleet.learnVm(std::move(Learned));
-  }
-  if (!Message.WantsReply)
-    return;
+}
+
+void vm_gossip::reply(const gossip_message &Message, time_point Now) {
   auto Reply = makeMessage(Now);
   const auto IsDetailSender = [this] {
     return Fleet.draw() * static_cast<double>(Fleet.vmCount()) <
@@ -470,7 +522,8 @@
     for (const auto &[Name, Known] : Fleet.vms())
       Reply.Vms.push_back({Name.str(), Known.GossipAddress});
   sendTo(Message.GossipAddress, encodeGossip(Reply), traffic_kind::Gossip,
-         Fleet.distanceTo(Vm.Region, Vm.FailureDomain));
+         Fleet.distanceTo(region_name(Message.Region),
+                          failure_domain_name(Message.FailureDomain)));
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -40,19 +40,32 @@
   /** Sends a message at once to the near VMs, or to all. */
   void sendNow(bool ToAll);
 
+  /** To be called by the VM's periodic task, every 100 ms. */
+  void noteTick(time_point Now);
+
+  /** @returns the number of messages that were not forwarded because this VM
+      was held up. */
+  std::uint64_t notForwarded() const { return NotForwarded; }
+
   /** Closes the socket and ends both loops. */
   void stop();
 
 private:
   awaitable<void> receiveLoop();
   awaitable<void> sendLoop();
-  /** Sends one message to each near VM, or to each VM. */
-  void send(time_point Now, bool ToAll);
+  /** Sends a message to each near VM, or to each VM.
+      @param MayForward  false: directly to each of them */
+  void send(time_point Now, bool ToAll, bool MayForward);
   static std::vector<gossip_known_objects>
   groupByEndpoint(const std::vector<request_path::known_object> &Updates);
   void sendTo(const std::string &Address, const std::string &Datagram,
               traffic_kind Kind, traffic_distance Distance);
   void applyMessage(const gossip_message &Message, time_point Now);
+  void applyIncrements(const gossip_message &Message, time_point Now);
+  void applyState(const gossip_message &Message, time_point Now);
+  void reply(const gossip_message &Message, time_point Now);
+  /** Passes @p Message on to the VMs of this VM's failure domain. */
+  void forward(gossip_message Message, time_point Now);
   void answerAsk(const token_message &Message, time_point Now);
   void receiveGrant(const token_message &Message, time_point Now);
   /** Sends @p Ask and waits for the answer, or until it is overdue.
@@ -72,8 +85,12 @@
   /** Known objects that have not been sent to far VMs yet. */
   std::vector<request_path::known_object> FarObjectUpdates;
   std::uint64_t LastAskId = 0;
-  int Round = 0;            ///< number of rounds of messages sent
-  time_point NextFarSend{}; ///< when the next message to far VMs is due
+  std::uint64_t LastSequence = 0;
+  std::uint64_t NotForwarded = 0;
+  time_point LastTick = boot_clock::now();
+  time_point BacklogUntil{}; ///< messages that arrive until then may be old
+  std::uint64_t Round = 0;   ///< number of rounds of messages sent
+  time_point NextFarSend{};  ///< when the next message to far VMs is due
   /** An ask for tokens without an answer. */
   struct open_ask {
     std::string Home;
