--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -234,6 +234,17 @@
     }
   };
   static reader_rank readerRank(const vm_name &Name, double Cores);
+  struct reader_candidate {
+    reader_rank Rank;
+    failure_domain_name FailureDomain;
+    const known_vm *Vm; ///< null: this VM
+  };
+  /** @returns the @p Wanted best ones, of as many failure domains as possible.
+   */
+  static std::vector<reader_candidate>
+  chooseReaders(std::vector<reader_candidate> Candidates, std::size_t Wanted);
+  /** @returns the rendezvous weight of @p Reader for this VM. */
+  double readerWeight(const known_vm &Reader) const;
 
   placement_limits placementLimits() const;
 
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -39,6 +39,12 @@
 // Rendezvous weight of a reader in this VM's region, against 1 for others: a
 // near reader is nearly always preferred.
 constexpr double NearReaderWeight = 1e6;
+// The same for one in this VM's failure domain: rows are most of what a VM gets
+// from another one, and traffic between failure domains is dear.
+constexpr double SameDomainReaderWeight = 1e12;
+// A VM with less than this fraction of the best one's processor time is no
+// reader for the sake of its place: slow readers make rows old.
+constexpr double MinReaderCoresFraction = 0.5;
 // A VM that has been silent for this long, or for SilentIntervals if that is
 // longer, is not chosen as a reader: more than two messages are missing.
 constexpr std::chrono::milliseconds MinReaderSilence{1'300};
@@ -173,27 +179,19 @@
 }
 
 const known_vm *fleet_state::storeReader(time_point Now) const {
-  struct candidate {
-    reader_rank Rank;
-    const known_vm *Vm; ///< null: this VM
-  };
-  std::vector<candidate> Candidates;
+  std::vector<reader_candidate> Candidates;
   if (!IsStoreLost)
-    Candidates.push_back(
-        {readerRank(Options.Vm.Name, Options.Vm.Cores), nullptr});
+    Candidates.push_back({readerRank(Options.Vm.Name, Options.Vm.Cores),
+                          Options.Vm.FailureDomain, nullptr});
   for (const auto &[Name, Vm] : Vms) {
     const auto Avoided = AvoidedReaders.find(Name);
     const bool IsAvoided =
         Avoided != AvoidedReaders.end() && Now < Avoided->second;
     if (Vm.IsReady && !Vm.IsStoreLost && !IsAvoided && isReaderFor(Vm) &&
         Now - Vm.LastHeard < silenceTimeout(Vm, MinReaderSilence))
-      Candidates.push_back({readerRank(Name, Vm.Cores), &Vm});
+      Candidates.push_back({readerRank(Name, Vm.Cores), Vm.FailureDomain, &Vm});
   }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const candidate &Left, const candidate &Right) {
-              return Left.Rank < Right.Rank;
-            });
-  Candidates.resize(std::min(Candidates.size(), readersWanted()));
+  Candidates = chooseReaders(std::move(Candidates), readersWanted());
   const known_vm *Chosen = nullptr;
   const std::uint64_t Own = stableHash(Options.Vm.Name.view());
   double BestScore = 0;
@@ -201,9 +199,8 @@
     if (Candidate.Vm == nullptr)
       return nullptr;
     // Scores are positive, so a large weight ranks near readers first.
-    const double Score =
-        rendezvousScore(Own, Candidate.Rank.NameHash,
-                        isNear(*Candidate.Vm) ? NearReaderWeight : 1);
+    const double Score = rendezvousScore(Own, Candidate.Rank.NameHash,
+                                         readerWeight(*Candidate.Vm));
     if (Chosen == nullptr || Score > BestScore) {
       Chosen = Candidate.Vm;
       BestScore = Score;
@@ -212,6 +209,46 @@
   return Chosen;
 }
 
+std::vector<fleet_state::reader_candidate>
+fleet_state::chooseReaders(std::vector<reader_candidate> Candidates,
+                           std::size_t Wanted) {
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const reader_candidate &Left, const reader_candidate &Right) {
+              return Left.Rank < Right.Rank;
+            });
+  const auto MinCores =
+      Candidates.empty()
+          ? 0.0
+          : static_cast<double>(Candidates.front().Rank.CoreHundredths) *
+                MinReaderCoresFraction;
+  // The best one of each failure domain comes first.
+  std::set<failure_domain_name> Covered;
+  std::vector<reader_candidate> Readers;
+  std::vector<reader_candidate> Others;
+  for (auto &Vm : Candidates) {
+    const bool IsFirst =
+        static_cast<double>(Vm.Rank.CoreHundredths) >= MinCores &&
+        Covered.insert(Vm.FailureDomain).second;
+    (IsFirst ? Readers : Others).push_back(std::move(Vm));
+  }
+  Readers.insert(Readers.end(), Others.begin(), Others.end());
+  Readers.resize(std::min(Readers.size(), Wanted));
+  return Readers;
+}
+
+double fleet_state::readerWeight(const known_vm &Reader) const {
+  switch (distanceTo(Reader.Region, Reader.FailureDomain)) {
+  case traffic_distance::SameFailureDomain:
+    return SameDomainReaderWeight;
+  case traffic_distance::SameRegion:
+    return NearReaderWeight;
+  case traffic_distance::OtherRegion:
+  case traffic_distance::Unknown:
+    return 1;
+  }
+  return 1;
+}
+
 fleet_state::reader_rank fleet_state::readerRank(const vm_name &Name,
                                                  double Cores) {
   return {std::lround(Cores * 100), stableHash(Name.view())};
