--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -6,6 +6,7 @@
 #include "sesamepaddle/admission/workspace_quota.h"
 #include "sesamepaddle/ingress/ingress_options.h"
 #include "sesamepaddle/ingress/stop_schedule.h"
+#include "sesamepaddle/ingress/traffic_counter.h"
 #include "sesamepaddle/load_balancing/endpoint_registry.h"
 #include "sesamepaddle/load_balancing/placement.h"
 #include "sesamepaddle/moves/fleet_rollout.h"
@@ -25,6 +26,9 @@
 struct known_vm {
   vm_name Name;
   incarnation Incarnation{};
+  /** The process before this one; its messages may still arrive. */
+  incarnation PreviousIncarnation{};
+  std::uint64_t Sequence = 0; ///< of its latest message
   region_name Region;
   failure_domain_name FailureDomain;
   std::string CallerAddress;
@@ -111,6 +115,10 @@
   /** Excludes a reader that did not answer from selection for a short time. */
   void avoidReader(const vm_name &Name, time_point Now);
 
+  /** @returns true when a message with these numbers was sent before one that
+      arrived already. */
+  bool isSuperseded(const vm_name &Vm, incarnation Incarnation,
+                    std::uint64_t Sequence) const;
   /** Stores what a message of another VM said about it. Ignored when it bears
       this VM's own name. */
   void applyVm(known_vm Vm);
@@ -148,6 +156,11 @@
     return Vm.Region == Options.Vm.Region;
   }
 
+  /** @returns how far this VM is from one in @p Region and @p Domain. */
+  traffic_distance distanceTo(const region_name &Region,
+                              const failure_domain_name &Domain) const;
+  traffic_counter &traffic() { return Traffic; }
+
   /** @returns the interval between gossip messages to each near VM, or to each
       far one. It grows with their number, so that the total rate is bounded. */
   std::chrono::milliseconds messageInterval(bool ToNear) const;
@@ -226,6 +239,17 @@
     }
   };
   static reader_rank readerRank(const vm_name &Name, double Cores);
+  struct reader_candidate {
+    reader_rank Rank;
+    failure_domain_name FailureDomain;
+    const known_vm *Vm; ///< null: this VM
+  };
+  /** @returns the @p Wanted best ones, of as many failure domains as possible.
+   */
+  static std::vector<reader_candidate>
+  chooseReaders(std::vector<reader_candidate> Candidates, std::size_t Wanted);
+  /** @returns the rendezvous weight of @p Reader for this VM. */
+  double readerWeight(const known_vm &Reader) const;
 
   placement_limits placementLimits() const;
 
@@ -262,6 +286,7 @@
   std::map<vm_name, time_point> AvoidedReaders; ///< end of exclusion
   std::map<vm_name, vm_loads> VmLoads;
   row_freshness Rows;
+  traffic_counter Traffic;
   std::optional<stop_schedule> Stop;
   bool IsStoreLost = false;
   bool AreVmsListed = false;
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -121,6 +121,9 @@
   bool mayRetry(request_state &State, bool WasSent);
   /** Counts a retry to the request's service if the budget allows it. */
   bool takeRetry(request_state &State);
+  void countTraffic(const endpoint_record &Record,
+                    const upstream_request &Request,
+                    const exchange_result &Result);
   /** Reports a crash if @p Endpoint accepts no connection after it lost one. */
   awaitable<void> verifyCrash(endpoint_pointer Endpoint,
                               std::string Fingerprint);
