Test of a retry's service: the configuration changes before the answer, not by time

The case changed the configuration while an endpoint waited 200 ms, so that its verdict depended on the machine's speed. The endpoint's script does it now.

--- a/tests/ingress/answers_test.cpp
+++ b/tests/ingress/answers_test.cpp
@@ -361,18 +361,25 @@
 }
 
 TEST_CASE("a retry counts for the service that gets it") {
-  ingress_fixture Fixture({[](const std::string &Request) {
-                             return scripted_answer{
-                                 makeAnswer(Request, "",
-                                            "503 Service Unavailable",
-                                            "Not-Run: 1\r\n"),
-                                 "", false, false, milliseconds(200)};
-                           },
-                           answerWhole});
-  const auto SpareAddress = Fixture.endpoint(1).address();
   const service_name Spares("spares");
-  Fixture.onVm([&](fleet_state &Fleet) {
-    Fleet.endpoints().remove(endpoint_id("i-1"), std::nullopt);
+  fleet_state *Fleet = nullptr;
+  // The endpoint's answer comes after a change of the configuration.
+  const auto RefuseMoved = [&](const std::string &Request) {
+    auto Route = *Fleet->configuration()->findRoute("shop.example", "/orders/");
+    Route.Services = {{Spares, 1}};
+    configuration_content Content;
+    Content.Version = 2;
+    Content.RoutesByHost["shop.example"] = {Route};
+    Fleet->setConfiguration(
+        std::make_shared<fleet_configuration>(std::move(Content)));
+    return scripted_answer{
+        makeAnswer(Request, "", "503 Service Unavailable", "Not-Run: 1\r\n"),
+        "", false, false, milliseconds(0)};
+  };
+  ingress_fixture Fixture({RefuseMoved, answerWhole});
+  const auto SpareAddress = Fixture.endpoint(1).address();
+  Fleet = Fixture.onVm([&](fleet_state &Own) {
+    Own.endpoints().remove(endpoint_id("i-1"), std::nullopt);
     endpoint_record Record;
     Record.Id = endpoint_id("i-2");
     Record.Address = SpareAddress;
@@ -380,26 +387,13 @@
     Record.Region = region_name("lima");
     Record.FailureDomain = failure_domain_name("lima-a");
     Record.Slots = 4;
-    Fleet.endpoints().apply(Record, boot_clock::now());
-    return true;
+    Own.endpoints().apply(Record, boot_clock::now());
+    return &Own;
   });
-  auto Reply = std::async(std::launch::async,
-                          [&] { return Fixture.post("/orders/1", "r1", "x"); });
-  while (Fixture.endpoint(0).requests().empty())
-    std::this_thread::sleep_for(milliseconds(5));
-  Fixture.onVm([&](fleet_state &Fleet) {
-    auto Route = *Fleet.configuration()->findRoute("shop.example", "/orders/1");
-    Route.Services = {{Spares, 1}};
-    configuration_content Content;
-    Content.Version = 2;
-    Content.RoutesByHost["shop.example"] = {Route};
-    return Fleet.setConfiguration(
-        std::make_shared<fleet_configuration>(std::move(Content)));
-  });
-  CHECK(isStatus(Reply.get(), 200));
+  CHECK(isStatus(Fixture.post("/orders/1", "r1", "x"), 200));
   std::map<std::string, attempt_totals> Totals;
-  Fixture.onVm([&](fleet_state &Fleet) {
-    Fleet.attempts().forEach(
+  Fixture.onVm([&](fleet_state &Own) {
+    Own.attempts().forEach(
         [&](const service_name &Service, const attempt_totals &Counts) {
           Totals[Service.str()] = Counts;
         });
