A deployment without a contract's terms starts, without its limit

Callers saw: on the two new deployments nothing, since all processes ended at their start with 'bounds.rollout_share is missing' and 'bounds.rollout_slack is missing'.

Cause: every bound was required, but the platform gives only the bounds of the contracts in force: the two deployments have no rollouts.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -64,8 +64,9 @@
   void setEvacuated(std::set<failure_domain_name> Domains, time_point Now);
 
   /** Starts the rollout of @p Order, which was issued @p Age ago. Does nothing
-      when this order is already known. */
-  void setRollout(const rollout_order &Order, duration Age, time_point Now);
+      when this order is already known.
+      @returns false when it is not taken up, as there are no terms for it */
+  bool setRollout(const rollout_order &Order, duration Age, time_point Now);
   void removeRollout(const service_name &Service);
   /** Stores the final outcome of a rollout; it also holds for requests after
       the order has been removed. */
--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -76,15 +78,31 @@
   std::vector<failure_domain_name> FailureDomains;
 };
 
-/** Limits that are the same on all VMs. */
+/** The tolerated overshoot of workspaces' limits. @see quota_terms */
+struct quota_tolerance {
+  std::chrono::milliseconds Window{5'000};
+  double Overshoot = 0.1; ///< ratio to what a window allows
+  double Slack = 20;      ///< requests
+};
+
+/** @returns limits that allow any number of retries. */
+inline attempt_limits unlimitedAttempts() {
+  attempt_limits Limits;
+  Limits.Slack = std::numeric_limits<double>::infinity();
+  return Limits;
+}
+
+/** Limits that are the same on all VMs. An absent one means that there is no
+    such limit. */
 struct fleet_bounds {
-  attempt_limits Attempts;
-  rollout_limits Rollout;
-  std::chrono::milliseconds QuotaWindow{5'000}; ///< @see quota_terms
-  double QuotaOvershoot = 0.1; ///< ratio to what a window allows
-  double QuotaSlack = 20;      ///< requests
+  attempt_limits Attempts; ///< absent: unlimitedAttempts()
+  /** Absent: no rollout is taken up. */
+  std::optional<rollout_limits> Rollout = rollout_limits{};
+  /** Absent: no workspace is limited. */
+  std::optional<quota_tolerance> Quota = quota_tolerance{};
   row_bounds Rows;
-  std::chrono::milliseconds GracePeriod{6'000}; ///< from SIGTERM to SIGKILL
+  /** From SIGTERM to SIGKILL; absent: a stop may take any time. */
+  std::optional<std::chrono::milliseconds> GracePeriod{6'000};
   /** The directory omits a VM that has sent no message for this long, or for
       some message intervals if that is longer. */
   std::chrono::milliseconds VmSilence{2'500};
--- a/include/sesamepaddle/ingress/row_freshness.h
+++ b/include/sesamepaddle/ingress/row_freshness.h
@@ -21,10 +21,10 @@
 std::string_view nameOf(row_kind Kind);
 
 /** The time in which a change that the store has confirmed has to be in force
-    at each VM. */
+    at each VM; absent: any. */
 struct row_bounds {
-  std::chrono::milliseconds Orders{2'000};
-  std::chrono::milliseconds Endpoints{2'000};
+  std::optional<std::chrono::milliseconds> Orders{2'000};
+  std::optional<std::chrono::milliseconds> Endpoints{2'000};
 };
 
 /** Knows how old the rows of the store are on which this VM acts, and whether
--- a/include/sesamepaddle/ingress/stop_schedule.h
+++ b/include/sesamepaddle/ingress/stop_schedule.h
@@ -5,6 +5,7 @@
 #include "sesamepaddle/routing/fleet_configuration.h"
 
 #include <chrono>
+#include <optional>
 
 namespace sesamepaddle {
 
@@ -16,8 +17,10 @@
 */
 class stop_schedule {
 public:
-  /** @param Start  when the stop was ordered */
-  stop_schedule(time_point Start, std::chrono::milliseconds GracePeriod);
+  /** @param Start  when the stop was ordered
+      @param GracePeriod  after which the VM is killed; absent: never */
+  stop_schedule(time_point Start,
+                std::optional<std::chrono::milliseconds> GracePeriod);
 
   /** @returns true when a request has the time to end.
       @param Deadline  the latest time at which it is answered
@@ -29,15 +32,17 @@
       before the stop. */
   bool isNamed(time_point Now) const;
 
-  /** @returns when all requests must have an answer. */
+  /** @returns when all requests must have an answer; time_point::max(): no
+      such time. */
   time_point answersDue() const;
 
-  /** @returns when the process ends at the latest. */
+  /** @returns when the process ends at the latest; time_point::max(): no such
+      time. */
   time_point end() const;
 
 private:
   time_point Start;
-  std::chrono::milliseconds GracePeriod;
+  std::optional<std::chrono::milliseconds> GracePeriod;
 };
 
 } // namespace sesamepaddle
--- a/include/sesamepaddle/settings/yaml_reader.h
+++ b/include/sesamepaddle/settings/yaml_reader.h
@@ -6,6 +6,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <functional>
+#include <initializer_list>
 #include <optional>
 #include <set>
 #include <span>
@@ -93,6 +94,10 @@
   /** @returns whether @p Key is present and not null. */
   bool has(std::string_view Key) const;
 
+  /** @returns whether any of @p Keys is present and not null. All of them count
+      as read for finish(). */
+  bool hasAny(std::initializer_list<std::string_view> Keys);
+
 private:
   YAML::Node readNode(std::string_view Key);
   std::optional<std::string> readText(std::string_view Key);
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -142,17 +142,20 @@
   Evacuated = std::move(Domains);
 }
 
-void fleet_state::setRollout(const rollout_order &Order, duration Age,
+bool fleet_state::setRollout(const rollout_order &Order, duration Age,
                              time_point Now) {
   const auto Found = Rollouts.find(Order.Service);
   if (Found != Rollouts.end() && Found->second.order() == Order)
-    return;
+    return true;
+  if (!Options.Bounds.Rollout)
+    return false;
   Rollouts.erase(Order.Service);
   Rollouts.emplace(Order.Service,
-                   fleet_rollout(Order, Options.Bounds.Rollout, Now - Age));
+                   fleet_rollout(Order, *Options.Bounds.Rollout, Now - Age));
   if (const auto Past = Recorded.find(Order.Service);
       Past != Recorded.end() && Past->second.To == Order.To)
     Rollouts.at(Order.Service).record(Past->second.Outcome);
+  return true;
 }
 
 void fleet_state::removeRollout(const service_name &Service) {
@@ -399,8 +402,11 @@
 }
 
 quota_terms fleet_state::termsOf(const workspace_terms &Workspace) const {
-  return {Workspace.RatePerSecond, Workspace.Burst, Options.Bounds.QuotaWindow,
-          Options.Bounds.QuotaOvershoot, Options.Bounds.QuotaSlack};
+  if (!Options.Bounds.Quota)
+    return {};
+  const auto &Tolerance = *Options.Bounds.Quota;
+  return {Workspace.RatePerSecond, Workspace.Burst, Tolerance.Window,
+          Tolerance.Overshoot, Tolerance.Slack};
 }
 
 version_choice fleet_state::drawVersion(const service_name &Service) {
--- a/src/ingress/row_freshness.cpp
+++ b/src/ingress/row_freshness.cpp
@@ -53,8 +53,8 @@
     const auto &State = States.at(static_cast<std::size_t>(Kind));
     const auto Bound =
         Kind == row_kind::Orders ? Bounds.Orders : Bounds.Endpoints;
-    if (State.AsOf && !State.IsUnanswered &&
-        ageAt(State.AsOf, Now) > std::max(Bound - SendMargin, LeastLimit))
+    if (State.AsOf && !State.IsUnanswered && Bound &&
+        ageAt(State.AsOf, Now) > std::max(*Bound - SendMargin, LeastLimit))
       return Kind;
   }
   return std::nullopt;
--- a/src/ingress/stop_schedule.cpp
+++ b/src/ingress/stop_schedule.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-stop_schedule::stop_schedule(time_point Start, milliseconds GracePeriod)
+stop_schedule::stop_schedule(time_point Start,
+                             std::optional<milliseconds> GracePeriod)
     : Start(Start), GracePeriod(GracePeriod) {}
 
 bool stop_schedule::isNamed(time_point Now) const {
@@ -30,10 +31,12 @@
 }
 
 time_point stop_schedule::end() const {
-  return Start + GracePeriod - EndMargin;
+  return GracePeriod ? Start + *GracePeriod - EndMargin : time_point::max();
 }
 
-time_point stop_schedule::answersDue() const { return end() - AnswerMargin; }
+time_point stop_schedule::answersDue() const {
+  return GracePeriod ? end() - AnswerMargin : time_point::max();
+}
 
 // A request that may be repeated costs its caller little if it takes unusually
 // long, and few callers know of the stop yet. Later ones would be broken off
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -267,6 +267,15 @@
   return Value && !Value.IsNull();
 }
 
+bool yaml_reader::hasAny(std::initializer_list<std::string_view> Keys) {
+  bool HasAny = false;
+  for (const auto Key : Keys) {
+    RequestedKeys.insert(std::string(Key));
+    HasAny = HasAny || has(Key);
+  }
+  return HasAny;
+}
+
 YAML::Node yaml_reader::readNode(std::string_view Key) {
   RequestedKeys.insert(std::string(Key));
   // The subscript of a node that is not const would add the key.
