Load reports with four figures and more are used

Callers saw: requests placed by what VMs have under way alone, on services whose endpoints report their load with four figures.

Cause: a load header had to have exactly three figures; others were dropped without a count.

Change: load_balancing/load_report decodes the header once: running, waiting and slots, then how long work takes (1 as usual), then any number of unknown figures. What is out of range is left out: an impossible pace alone, an impossible number of requests the whole report. Each report is counted by kind in sesamepaddle_load_reports. The pace is kept in the endpoint's state with the time at which it was reported; nothing decides by it yet.

Tests: the three cases of load_report_test failed before, in the kinds, the pace and the metric; test_load_balancing 11 of 11, test_ingress as before.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -132,6 +132,8 @@
   void updateQuota(time_point Now);
   attempt_budget &attempts() { return Attempts; }
   overload_gate &overload() { return Overload; }
+  /** Load headers of endpoints' answers. */
+  load_report_counts &loadReports() { return LoadReports; }
   std::map<service_name, fleet_rollout> &rollouts() { return Rollouts; }
   const std::map<vm_name, known_vm> &vms() const { return Vms; }
   const std::set<failure_domain_name> &evacuated() const { return Evacuated; }
@@ -249,6 +251,7 @@
   endpoint_registry Registry;
   workspace_quota Quota;
   attempt_budget Attempts;
+  load_report_counts LoadReports;
   overload_gate Overload;
   std::map<service_name, fleet_rollout> Rollouts;
   std::map<service_name, recorded_rollout> Recorded; ///< final outcomes
--- a/include/sesamepaddle/ingress/ingress_options.h
+++ b/include/sesamepaddle/ingress/ingress_options.h
@@ -29,7 +29,7 @@
   std::string ExpectedEndpoint; ///< identifier of the endpoint, set by the VM
   std::string EndpointProof;    ///< present in every answer of an endpoint
   std::string NotRun;  ///< set by an endpoint that did not run the request
-  std::string Load;    ///< "running,waiting,slots" of the endpoint
+  std::string Load;    ///< load of the endpoint, see load_report.h
   std::string Leaving; ///< "1": the endpoint takes no new requests
 };
 
@@ -110,6 +110,17 @@
   std::size_t Descriptors = 4'096;              ///< that one VM may have open
 };
 
+/** Limits of the requests that run before earlier ones of their connection have
+    been answered. A connection at a limit is not read further; the first
+    request of a connection without an answer always runs. */
+struct ahead_limits {
+  std::size_t ConnectionRequests = 32;
+  /** Request bodies, and answers that wait for earlier ones. */
+  std::size_t ConnectionBytes = 1024UL * 1024;
+  std::size_t VmRequests = 1'024;          ///< of all connections
+  std::size_t VmBytes = 8UL * 1024 * 1024; ///< of all connections
+};
+
 /** Options of an ingress node. */
 struct ingress_options {
   vm_profile Vm;
@@ -118,6 +129,7 @@
   node_paths Paths;
   directory_codec Directory;
   fleet_bounds Bounds;
+  ahead_limits Ahead;
   placement_options Placement;
 };
 
--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -4,6 +4,7 @@
 #include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/core/identifiers.h"
 #include "sesamepaddle/load_balancing/endpoint_health.h"
+#include "sesamepaddle/load_balancing/load_report.h"
 
 #include <cstdint>
 #include <functional>
@@ -42,13 +43,6 @@
     may carry out such a write late. */
 bool isOutdated(const endpoint_record &Record, const endpoint_record &Known);
 
-/** The load that an endpoint reports in a header of its answers. */
-struct reported_load {
-  unsigned Running = 0; ///< requests
-  unsigned Waiting = 0; ///< requests queued for a slot
-  unsigned Slots = 0;
-};
-
 /** An endpoint as this VM sees it: its record and what is known from its
     answers and from other VMs. */
 struct fleet_endpoint {
@@ -57,8 +51,11 @@
 
   unsigned InFlight = 0;     ///< requests that this VM has sent and awaits
   unsigned PeerInFlight = 0; ///< the same for other VMs, as last reported
-  reported_load Load;
+  reported_load Load;        ///< the latest
   time_point LoadReportedAt{};
+  /** The latest reported_load::Pace. It may change many times a second. */
+  double Pace = 1;
+  time_point PaceReportedAt{}; ///< time_point{}: never
 
   time_point ColdUntil{};         ///< end of its warm-up, from its record
   time_point PossiblyColdUntil{}; ///< set by markPossiblyCold()
@@ -95,6 +92,9 @@
       yet. */
   void markPossiblyCold(time_point Now);
 
+  /** Stores what the endpoint said about its load in an answer. */
+  void noteLoad(const reported_load &Reported, time_point Now);
+
   /** Ends the backoff of addFailure(), as an answer shows that the endpoint can
       be reached. */
   void addAnswer();
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -5,7 +5,6 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 
 #include <algorithm>
 #include <array>
@@ -59,19 +58,6 @@
   return std::chrono::duration<double, std::milli>(Span).count();
 }
 
-/** @returns the load in @p Text ("running,waiting,slots"), or nothing when it
-    is malformed. */
-std::optional<reported_load> parseLoad(std::string_view Text) {
-  const std::vector<absl::string_view> Parts =
-      absl::StrSplit(toAbsl(Text), ',');
-  reported_load Load;
-  if (Parts.size() != 3 || !absl::SimpleAtoi(Parts[0], &Load.Running) ||
-      !absl::SimpleAtoi(Parts[1], &Load.Waiting) ||
-      !absl::SimpleAtoi(Parts[2], &Load.Slots))
-    return std::nullopt;
-  return Load;
-}
-
 /** @returns the time in a Retry-After field, whole or fractional seconds,
    within MaxQuietSeconds; zero when it has none, a date, or no positive number.
  */
@@ -472,6 +458,17 @@
       Now);
 }
 
+void request_path::noteLoad(fleet_endpoint &Endpoint, std::string_view Text,
+                            time_point Now) {
+  // Not all services report it.
+  if (Text.empty())
+    return;
+  const auto Report = decodeLoadReport(Text);
+  Fleet.loadReports().add(Report.Kind);
+  if (Report.Load)
+    Endpoint.noteLoad(*Report.Load, Now);
+}
+
 void request_path::noteUse(fleet_endpoint &Endpoint, time_point Now) {
   const auto QuietUntil = std::exchange(Endpoint.QuietUntil, time_point{});
   if (QuietUntil == time_point{})
@@ -518,11 +515,7 @@
       Endpoint.IsReplaced = true;
       return;
     }
-    if (const auto Load =
-            parseLoad(findHeader(Result.Reply.Headers, Fields.Load))) {
-      Endpoint.Load = *Load;
-      Endpoint.LoadReportedAt = Now;
-    }
+    noteLoad(Endpoint, findHeader(Result.Reply.Headers, Fields.Load), Now);
     Endpoint.addAnswer();
     if (!State.IsLateCounted && !Endpoint.isCold(Now))
       Endpoint.Health.add(Meaning != answer_meaning::Final ||
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -117,6 +117,10 @@
   /** Takes the endpoint out of use when @p Reply says so. */
   void noteAnnouncements(const request_state &State, fleet_endpoint &Endpoint,
                          const http_reply &Reply, time_point Now);
+  /** Stores and counts the load that an endpoint reports in @p Text, the value
+      of the header; empty: none. */
+  void noteLoad(fleet_endpoint &Endpoint, std::string_view Text,
+                time_point Now);
   /** Logs that an endpoint is used again after it had asked for quiet. */
   void noteUse(fleet_endpoint &Endpoint, time_point Now);
   /** Updates health, load, known objects and rollout from one attempt. */
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -72,6 +72,15 @@
   return IsNew;
 }
 
+void fleet_endpoint::noteLoad(const reported_load &Reported, time_point Now) {
+  Load = Reported;
+  LoadReportedAt = Now;
+  if (!Reported.Pace)
+    return;
+  Pace = *Reported.Pace;
+  PaceReportedAt = Now;
+}
+
 unsigned fleet_endpoint::knownLoad(time_point Now) const {
   const unsigned AllInFlight = InFlight + PeerInFlight;
   if (Now - LoadReportedAt > MaxLoadAge)
