--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -6,13 +6,28 @@
 
 namespace {
 
-// Fraction of the fleet's limit that is used. The rest is a safety margin: the
-// windows of the VMs are not aligned with the window that is checked, and a VM
-// may be replaced within it.
-constexpr double UsedFraction = 0.6;
+// Fractions of the fleet's limit that are used. The retries of all VMs in one
+// window may be due to requests of two: those of the window before at one VM,
+// those of the window itself at another.
+constexpr double UsedRatio = 0.5;
+constexpr double UsedSlack = 0.7;
+// The same for the first window of a process, of which it gets a part that
+// grows with its age: the processes that a VM had before may have used
+// UsedSlack in the same window, and the ages of later ones add up to one window
+// at most.
+constexpr double UsedSlackAtStart = 0.3;
 // Bounds the memory of a window. Further requests do not allow more retries.
 constexpr std::size_t MaxCountedRequests = 20'000;
 
+/** @returns the fraction of its share of the slack that a process of @p Age may
+    use. */
+double usedSlack(duration Age, duration Window) {
+  if (Age >= Window)
+    return UsedSlack;
+  using seconds = std::chrono::duration<double>;
+  return UsedSlackAtStart * std::max(0.0, seconds(Age) / seconds(Window));
+}
+
 void dropBefore(std::deque<time_point> &Times, time_point Start) {
   while (!Times.empty() && Times.front() < Start)
     Times.pop_front();
@@ -21,26 +36,41 @@
 } // namespace
 
 void attempt_budget::addRequest(const service_name &Service, time_point Now) {
-  auto &Requests = Windows[Service].Requests;
+  auto &Window = Windows[Service];
+  ++Window.Totals.Requests;
+  auto &Requests = Window.Requests;
   if (Requests.size() >= MaxCountedRequests)
     Requests.pop_front();
   Requests.push_back(Now);
 }
 
-bool attempt_budget::takeRetry(const service_name &Service,
-                               const attempt_limits &Limits, std::size_t Vms,
-                               time_point Now) {
+retry_decision attempt_budget::takeRetry(const service_name &Service,
+                                         const attempt_limits &Limits,
+                                         std::size_t Vms, time_point Now) {
   auto &Window = Windows[Service];
   dropBefore(Window.Requests, Now - Limits.Window);
   dropBefore(Window.Retries, Now - Limits.Window);
-  const double MaxRetries =
-      UsedFraction *
-      (Limits.Ratio * static_cast<double>(Window.Requests.size()) +
-       Limits.Slack / static_cast<double>(std::max<std::size_t>(Vms, 1)));
-  if (static_cast<double>(Window.Retries.size()) + 1 > MaxRetries)
-    return false;
-  Window.Retries.push_back(Now);
-  return true;
+  retry_decision Decision;
+  Decision.Retries = Window.Retries.size();
+  Decision.Vms = std::max<std::size_t>(Vms, 1);
+  Decision.MaxRetries =
+      UsedRatio * Limits.Ratio * static_cast<double>(Window.Requests.size()) +
+      usedSlack(Now - StartedAt, Limits.Window) * Limits.Slack /
+          static_cast<double>(Decision.Vms);
+  Decision.IsAllowed =
+      static_cast<double>(Decision.Retries) + 1 <= Decision.MaxRetries;
+  if (Decision.IsAllowed) {
+    Window.Retries.push_back(Now);
+    ++Window.Totals.Retries;
+  } else {
+    ++Window.Totals.RefusedRetries;
+  }
+  return Decision;
+}
+
+void attempt_budget::addUnsent(const service_name &Service, bool WasConnected) {
+  auto &Totals = Windows[Service].Totals;
+  ++(WasConnected ? Totals.Withdrawn : Totals.Unconnected);
 }
 
 } // namespace sesamepaddle
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -36,8 +36,8 @@
 // Connections accepted in one pass of the event loop, so that those which are
 // open already get their turn.
 constexpr int MaxAcceptsPerPass = 64;
-// Fraction of a VM's memory that all request bodies together may use. A body is
-// held once, until its answer.
+// Fraction of a VM's memory that the bodies of all requests together may use,
+// and that of all answers. The rest is for everything else.
 constexpr double BodyMemoryFraction = 0.4;
 
 // Fraction of a VM's descriptors that callers' connections may take. Each of
@@ -51,9 +51,9 @@
                                   CallerDescriptorFraction);
 }
 
-std::size_t bodyMemoryLimit(const fleet_bounds &Bounds) {
-  return static_cast<std::size_t>(static_cast<double>(Bounds.MemoryBytes) *
-                                  BodyMemoryFraction);
+std::shared_ptr<body_memory> makeBodyMemory(const fleet_bounds &Bounds) {
+  return std::make_shared<body_memory>(static_cast<std::size_t>(
+      static_cast<double>(Bounds.MemoryBytes) * BodyMemoryFraction));
 }
 
 } // namespace
@@ -65,12 +65,14 @@
                  platform_handler Extra)
       : Pool(Pool), Fleet(std::move(Options)),
         Deadlines(Pool.context(0).get_executor()),
-        Upstreams(Fleet.options().Fields.RequestId, Deadlines),
+        RequestBodies(makeBodyMemory(Fleet.options().Bounds)),
+        AnswerBodies(makeBodyMemory(Fleet.options().Bounds)),
+        Upstreams(Fleet.options().Fields.RequestId, Deadlines, AnswerBodies),
         Path(Fleet, Upstreams, Metrics, Decisions),
         Sessions(std::make_shared<session_context>(session_context{
             Fleet, Path, Deadlines,
             std::make_shared<loop_monitor>(Pool.context(0), Fleet.overload()),
-            body_memory(bodyMemoryLimit(Fleet.options().Bounds))})),
+            RequestBodies})),
         Gossip(std::make_shared<vm_gossip>(Pool.context(0), Fleet, Path)),
         Acceptor(Pool.context(0)), Tick(Pool.context(0)),
         Extra(std::move(Extra)) {}
@@ -193,6 +195,7 @@
     return absl::StrCat(
         Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
         "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
+        "\nsesamepaddle_answers_in_progress ", countUnfinished(),
         "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
         "\nsesamepaddle_endpoint_connections_idle ",
         Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
@@ -202,10 +205,31 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
-        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n",
+        "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
+        "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
+        "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
+        attemptMetricsText(), Sessions->Unfinished.prometheusText(),
         Fleet.loadReports().prometheusText());
   }
 
+  std::string attemptMetricsText() {
+    std::string Text;
+    Fleet.attempts().forEach(
+        [&](const service_name &Service, const attempt_totals &Totals) {
+          const auto Add = [&](std::string_view Kind, std::uint64_t Count) {
+            absl::StrAppend(&Text, "sesamepaddle_attempts{service=\"",
+                            Service.str(), "\",kind=\"", toAbsl(Kind), "\"} ",
+                            Count, "\n");
+          };
+          Add("request", Totals.Requests);
+          Add("retry", Totals.Retries);
+          Add("refused_retry", Totals.RefusedRetries);
+          Add("no_connection", Totals.Unconnected);
+          Add("withdrawn", Totals.Withdrawn);
+        });
+    return Text;
+  }
+
   // Accepts all waiting connections in one pass: with one connection a pass, a
   // busy VM would leave callers in the listen queue for seconds.
   awaitable<void> acceptLoop() {
@@ -249,9 +273,11 @@
     OpenSessions.push_back(Session);
     asio::co_spawn(Pool.context(0), Session->run(),
                    [this, Session](const std::exception_ptr &Error) {
-                     if (Error)
-                       Log.error("connection ended error=" +
-                                 describeException(Error));
+                     if (!Error)
+                       return;
+                     Log.error("connection ended error=" +
+                               describeException(Error));
+                     Session->noteUnfinished(unfinished_cause::Failed);
                    });
   }
 
@@ -298,8 +324,7 @@
         Upstreams.sweep(Now);
       std::erase_if(OpenSessions,
                     [](const auto &Entry) { return Entry.expired(); });
-      if (Fleet.isStopping() && OnDrained)
-        advanceDrain(Now);
+      advanceDrain(Now);
     }
   }
 
@@ -322,9 +347,33 @@
         absl::StrCat("limits fraction=", Fraction, " vms=", Fleet.vmCount()));
   }
 
+  /** @returns the number of requests whose callers have not received all of
+      their answers. */
+  std::size_t countUnfinished() const {
+    std::size_t Count = 0;
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock();
+          Session && Session->hasUnfinishedAnswer())
+        ++Count;
+    return Count;
+  }
+
+  /** @returns true when all connections have ended, and with them all requests
+      and answers. */
+  bool isQuiet() const {
+    const bool AreServersBusy =
+        std::any_of(Servers.begin(), Servers.end(), [](const auto &Server) {
+          return Server->requestsInFlight() > 0;
+        });
+    return Sessions->Open == 0 && Path.inFlight() == 0 && !AreServersBusy;
+  }
+
   // Idle connections are closed when callers no longer use this VM's address.
-  // Requests in flight have the rest of the grace period to finish.
+  // Requests in flight and callers that take their answers have the rest of the
+  // grace period to finish.
   void advanceDrain(time_point Now) {
+    if (!OnDrained)
+      return;
     const auto &Stop = *Fleet.stop();
     if (!Stop.isNamed(Now) && !Sessions->IsClosingIdle) {
       Sessions->IsClosingIdle = true;
@@ -334,12 +383,19 @@
     }
     if (Now >= Stop.answersDue())
       Path.expireAll();
-    const bool IsQuiet = Sessions->IsClosingIdle && Path.inFlight() == 0 &&
-                         !Stop.isNamed(Now - 2 * TickInterval);
-    if (!IsQuiet && Now < Stop.end())
-      return;
+    const bool MayEnd = Sessions->IsClosingIdle &&
+                        !Stop.isNamed(Now - 2 * TickInterval) && isQuiet();
+    if (MayEnd || Now >= Stop.end())
+      endDrain();
+  }
+
+  void endDrain() {
     Log.info(absl::StrCat("drained requests=", Path.inFlight(),
-                          " connections=", Sessions->Open));
+                          " connections=", Sessions->Open,
+                          " answers_unfinished=", countUnfinished()));
+    for (const auto &Entry : OpenSessions)
+      if (const auto Session = Entry.lock())
+        Session->noteUnfinished(unfinished_cause::VmEnded);
     Gossip->stop();
     std::exchange(OnDrained, nullptr)();
   }
@@ -347,6 +403,8 @@
   worker_pool &Pool;
   fleet_state Fleet;
   deadline_queue Deadlines;
+  std::shared_ptr<body_memory> RequestBodies;
+  std::shared_ptr<body_memory> AnswerBodies;
   upstream_pool Upstreams;
   metrics Metrics;
   decision_log Decisions{"ingress"};
@@ -362,9 +420,9 @@
   double LoggedFraction = 0;
   std::optional<row_kind> LoggedOutdatedRows;
   bool WasReady = false;
-  bool IsAcceptingPaused = false; ///< no connection accepted since the pause
-  std::ptrdiff_t KnownFaulty = 0; ///< rollouts known to be faulty
-  std::function<void()> OnDrained;
+  bool IsAcceptingPaused = false;  ///< no connection accepted since the pause
+  std::ptrdiff_t KnownFaulty = 0;  ///< rollouts known to be faulty
+  std::function<void()> OnDrained; ///< set while the VM drains
 };
 
 absl::StatusOr<std::unique_ptr<ingress_node>>
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -126,6 +126,8 @@
     return "timed-out";
   case exchange_end::Malformed:
     return "malformed";
+  case exchange_end::TooLong:
+    return "too-long";
   case exchange_end::Cancelled:
     return "caller-left";
   }
@@ -158,11 +160,14 @@
   bool IsLateCounted = false;
   std::string Reason;     ///< of the answer, for the log
   std::string AttemptLog; ///< endpoint and outcome of each attempt, for the log
+  std::string RetryLog;   ///< figures of the latest retry decision, for the log
   // For the log: the latest endpoint, and why it was chosen.
   std::string Endpoint;
   bool IsKnown = false; ///< it had answered for the object before
   unsigned Load = 0;    ///< requests that it ran or queued
   time_point SentAt{};  ///< start of the latest attempt
+  /** Of the endpoint's answer that is forwarded. */
+  std::shared_ptr<body_memory::holding> AnswerMemory;
 };
 
 request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
@@ -287,9 +292,14 @@
     State.Reason += "+no-attempts";
     return false;
   }
-  if (!Fleet.attempts().takeRetry(State.Service,
-                                  Fleet.options().Bounds.Attempts,
-                                  Fleet.sharingVms(), boot_clock::now())) {
+  const auto Decision =
+      Fleet.attempts().takeRetry(State.Service, Fleet.options().Bounds.Attempts,
+                                 Fleet.sharingVms(), boot_clock::now());
+  State.RetryLog = absl::StrCat(
+      " retries=", Decision.Retries, " max_retries=", Decision.MaxRetries,
+      " sharing_vms=", Decision.Vms,
+      " up_ms=", toMilliseconds(Fleet.uptime(boot_clock::now())));
+  if (!Decision.IsAllowed) {
     State.Reason += "+no-budget";
     return false;
   }
@@ -361,7 +371,8 @@
   Sent.erase(Entry);
   const bool IsSuspicious = Result.End == exchange_end::Lost ||
                             Result.End == exchange_end::TimedOut ||
-                            Result.End == exchange_end::Malformed;
+                            Result.End == exchange_end::Malformed ||
+                            Result.End == exchange_end::TooLong;
   // The failure probably affects the other connections to the endpoint as well.
   if (IsSuspicious)
     Upstreams.discard(EndpointRun);
@@ -502,6 +513,7 @@
     return;
   case exchange_end::Lost:
   case exchange_end::Malformed:
+  case exchange_end::TooLong:
   case exchange_end::TimedOut:
     Endpoint.addAnswer();
     if (!State.IsLateCounted && !Endpoint.isCold(Now))
@@ -627,7 +639,7 @@
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
     State.SentAt = Now;
-    const auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
+    auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
     State.LastEnd = Result.End;
     absl::StrAppend(&State.AttemptLog, State.AttemptLog.empty() ? "" : ",",
                     State.Endpoint, ":", outcomeName(Result));
@@ -640,6 +652,8 @@
     if (Result.End == exchange_end::NotConnected ||
         Result.End == exchange_end::Withdrawn) {
       State.Reason = outcomeName(Result);
+      Fleet.attempts().addUnsent(State.Service,
+                                 Result.End == exchange_end::Withdrawn);
       if (mayRetry(State, false))
         continue;
       co_return State.MayHaveRun
@@ -660,7 +674,8 @@
           State.Version = Fleet.versionAfterFault(State.Service, State.Version);
           continue;
         }
-        co_return Result.Reply;
+        State.AnswerMemory = std::move(Result.Memory);
+        co_return std::move(Result.Reply);
       }
       State.Reason = IsNotRun ? "not-run" : "unproved";
       State.MayHaveRun = State.MayHaveRun || !IsNotRun;
@@ -671,7 +686,9 @@
           : refuse(State, 503, "endpoint-full", ShortRetrySeconds);
     }
     State.MayHaveRun = true;
-    State.Reason = Result.End == exchange_end::TimedOut ? "timed-out" : "lost";
+    State.Reason = Result.End == exchange_end::TimedOut  ? "timed-out"
+                   : Result.End == exchange_end::TooLong ? "too-long"
+                                                         : "lost";
     if (State.Route->Kind == request_kind::Idempotent &&
         mayRetry(State, true)) {
       State.Version = Fleet.versionAfterFault(State.Service, State.Version);
@@ -718,7 +735,7 @@
   co_return co_await send(State);
 }
 
-awaitable<http_reply> request_path::run(ingress_request Request) {
+awaitable<ingress_answer> request_path::run(ingress_request Request) {
   request_state State;
   State.Request = std::move(Request);
   const auto &Fields = Fleet.options().Fields;
@@ -727,7 +744,7 @@
   State.Host = findHeader(Message.Headers, "Host");
   State.Path = targetPath(Message.Target);
   if (State.RequestId.empty())
-    co_return refuse(State, 400, "no-request-id", 0);
+    co_return ingress_answer{refuse(State, 400, "no-request-id", 0), nullptr};
   // An unexpected error ends this request alone. It may have run.
   http_reply Reply = unknownOutcomeReply(State);
   ++InFlight;
@@ -755,11 +772,11 @@
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
         " load=", State.Load, " attempts=", State.SentAttempts,
         " unreached=", State.Unreached, " tried=", State.AttemptLog,
-        " ms=", toMilliseconds(Took),
+        State.RetryLog, " ms=", toMilliseconds(Took),
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
   Log.write(MakeLine, boot_clock::now());
-  co_return Reply;
+  co_return ingress_answer{std::move(Reply), std::move(State.AnswerMemory)};
 }
 
 } // namespace sesamepaddle
--- a/tests/admission/attempt_budget_test.cpp
+++ b/tests/admission/attempt_budget_test.cpp
@@ -14,7 +14,9 @@
   const attempt_limits Limits;
   const time_point Start = time_point(std::chrono::hours(1));
   constexpr std::size_t Vms = 10;
-  std::vector<attempt_budget> Budgets(Vms);
+  // Processes that have run for a window.
+  std::vector<attempt_budget> Budgets(Vms,
+                                      attempt_budget(Start - Limits.Window));
   std::vector<time_point> Requests;
   std::vector<time_point> Retries;
   std::mt19937 Random(7);
@@ -25,7 +27,7 @@
       auto &Budget = Budgets[Random() % Vms];
       Budget.addRequest(Orders, Now);
       Requests.push_back(Now);
-      if (Budget.takeRetry(Orders, Limits, Vms, Now))
+      if (Budget.takeRetry(Orders, Limits, Vms, Now).IsAllowed)
         Retries.push_back(Now);
     }
     CHECK_FALSE(Retries.empty());
@@ -42,12 +44,14 @@
   }
 
   SUBCASE("the slack allows a few retries without any request") {
-    CHECK(Budgets[0].takeRetry(Orders, Limits, Vms, Start));
+    CHECK(Budgets[0].takeRetry(Orders, Limits, Vms, Start).IsAllowed);
   }
 
   SUBCASE("retries to one service do not use the budget of another") {
-    while (Budgets[0].takeRetry(Orders, Limits, Vms, Start)) {
+    while (Budgets[0].takeRetry(Orders, Limits, Vms, Start).IsAllowed) {
     }
-    CHECK(Budgets[0].takeRetry(service_name("other"), Limits, Vms, Start));
+    CHECK(Budgets[0]
+              .takeRetry(service_name("other"), Limits, Vms, Start)
+              .IsAllowed);
   }
 }
--- a/tests/ingress/ingress_fixture.cpp
+++ b/tests/ingress/ingress_fixture.cpp
@@ -19,6 +19,8 @@
                     "Expected", "Proof",  "Not-Run",  "Load", "Leaving"};
   Options.Paths = {"/ready", "/directory", "/metrics"};
   Options.Bounds.GracePeriod = std::chrono::milliseconds(6'000);
+  // More than any test retries, also at once after the start.
+  Options.Bounds.Attempts.Slack = 1e9;
   return Options;
 }
 
@@ -111,4 +113,14 @@
   return Drained.get_future();
 }
 
+std::future<void> ingress_fixture::stop() {
+  asio::post(Context, [this] {
+    Node->drain([this] {
+      Context.stop();
+      Drained.set_value();
+    });
+  });
+  return Drained.get_future();
+}
+
 } // namespace sesamepaddle
