--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -196,7 +196,8 @@
 
   std::string metricsText() {
     return absl::StrCat(
-        Metrics.prometheusText(), "sesamepaddle_connections ", Sessions->Open,
+        Metrics.prometheusText(), Fleet.traffic().prometheusText(),
+        "sesamepaddle_connections ", Sessions->Open,
         "\nsesamepaddle_requests_in_flight ", Path.inFlight(),
         "\nsesamepaddle_answers_in_progress ", countUnfinished(),
         "\nsesamepaddle_endpoint_connections_opened ", Upstreams.opened(),
@@ -208,6 +209,7 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
+        "\nsesamepaddle_gossip_not_forwarded ", Gossip->notForwarded(),
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
         "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
@@ -294,6 +296,7 @@
           asio::redirect_error(asio::use_awaitable, Error));
       const auto Now = boot_clock::now();
       Sessions->Monitor->noteTick(Now, Now + TickInterval);
+      Gossip->noteTick(Now);
       if (TickCount % QuotaTicks == 0)
         updateQuota(Now);
       logOutdatedRows(Now);
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t MaxKnownObjectUpdates = 256;
 // Time from a lost connection until a crashed endpoint refuses new connections.
 constexpr milliseconds CrashSettleTime{30};
+// Bytes of a header field besides its name and value.
+constexpr std::size_t FieldSeparatorBytes = 4;
 // Bound on the random time added to Retry-After, so that callers that were
 // refused at the same moment do not retry at the same moment.
 constexpr double RetrySpreadSeconds = 0.25;
@@ -155,6 +157,7 @@
   unsigned SentAttempts = 0; ///< attempts that reached an endpoint
   int Unreached = 0;         ///< attempts that did not
   bool MayHaveRun = false;   ///< at an endpoint
+  bool IsCounted = false;    ///< by the budget of retries
   exchange_end LastEnd = exchange_end::NotConnected;
   /** countLateRequests() has counted the latest attempt. */
   bool IsLateCounted = false;
@@ -292,6 +295,10 @@
     State.Reason += "+no-attempts";
     return false;
   }
+  return takeRetry(State);
+}
+
+bool request_path::takeRetry(request_state &State) {
   const auto Decision =
       Fleet.attempts().takeRetry(State.Service, Fleet.options().Bounds.Attempts,
                                  Fleet.sharingVms(), boot_clock::now());
@@ -369,6 +376,7 @@
   --Endpoint->InFlight;
   State.IsLateCounted = Entry->IsCounted;
   Sent.erase(Entry);
+  countTraffic(Record, *Request, Result);
   const bool IsSuspicious = Result.End == exchange_end::Lost ||
                             Result.End == exchange_end::TimedOut ||
                             Result.End == exchange_end::Malformed ||
@@ -382,6 +390,23 @@
   co_return Result;
 }
 
+void request_path::countTraffic(const endpoint_record &Record,
+                                const upstream_request &Request,
+                                const exchange_result &Result) {
+  if (Result.End == exchange_end::NotConnected ||
+      Result.End == exchange_end::Withdrawn)
+    return;
+  const auto Distance = Fleet.distanceTo(Record.Region, Record.FailureDomain);
+  Fleet.traffic().add(traffic_kind::EndpointRequest, Distance,
+                      Request.Head.size() + Request.Body.size());
+  if (Result.End != exchange_end::Answered)
+    return;
+  std::size_t Bytes = Result.Reply.Body.size();
+  for (const auto &Field : Result.Reply.Headers)
+    Bytes += Field.Name.size() + Field.Value.size() + FieldSeparatorBytes;
+  Fleet.traffic().add(traffic_kind::EndpointAnswer, Distance, Bytes);
+}
+
 // When a connection ended before the answer, either only the connection failed
 // or the endpoint crashed. Only a crash is evidence against the request. A
 // crashed endpoint accepts no connections for a while.
@@ -601,6 +626,11 @@
     if (!IsServiceCurrent) {
       State.Service = State.Route->serviceFor(Fleet.draw());
       State.Version = Fleet.drawVersion(State.Service);
+      // The permission that it has is for the former service.
+      if (State.SentAttempts > 0 && !takeRetry(State))
+        co_return State.MayHaveRun
+            ? unknownOutcomeReply(State)
+            : refuse(State, 503, "endpoint-full", ShortRetrySeconds);
     }
     // The request may have waited in the socket of a busy VM, or for a token, a
     // connection or another endpoint.
@@ -613,6 +643,8 @@
       co_return State.MayHaveRun ? unknownOutcomeReply(State)
                                  : refuse(State, 503, "deadline", 0);
     }
+    if (!std::exchange(State.IsCounted, true))
+      Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
     placement_request Wanted;
     Wanted.ObjectHash = State.ObjectHash;
     Wanted.CallerRegion = Fleet.options().Vm.Region;
@@ -730,7 +762,6 @@
   if (auto Refusal = co_await admit(State))
     co_return std::move(*Refusal);
   State.Reason.clear();
-  Fleet.attempts().addRequest(State.Service, State.Request.Arrival);
   State.Version = Fleet.drawVersion(State.Service);
   co_return co_await send(State);
 }
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -1,5 +1,6 @@
 #include "ingress/vm_gossip.h"
 
+#include "ingress/gossip_recipients.h"
 #include "sesamepaddle/net/failures.h"
 #include "sesamepaddle/net/http_server.h"
 #include "sesamepaddle/net/supervised_loop.h"
@@ -21,12 +22,11 @@
 // be known everywhere before many requests run into it.
 constexpr milliseconds UrgentInterval{150};
 constexpr double UrgentMessagesPerSecond = 100;
-// A VM that has been silent for this long gets a message only in every
-// SilentVmRounds-th round.
-constexpr std::chrono::seconds LongSilence{8};
-constexpr int SilentVmRounds = 8;
-// Crashes that are queued for the next message.
+// Crashes that are queued for the next message, and that a VM which has just
+// started is told.
 constexpr std::size_t MaxCrashes = 16;
+// Age up to which such a crash counts: longer than any request is refused.
+constexpr std::uint64_t MaxCrashAgeMs = 3'600'000;
 // A VM that has just started asks all others for a message. On average this
 // many of them add all known objects, and as many the VMs that they know: in a
 // fleet of 300 that start together, complete replies of all would be 1 GB.
@@ -43,6 +43,10 @@
 // An answer that comes later than this is dropped: its tokens have expired.
 constexpr milliseconds AnswerLifetime{1'000};
 constexpr std::size_t MaxOpenAsks = 256;
+// A VM whose periodic task, every 100 ms, is later than this has been held up.
+constexpr milliseconds HeldUpTime{400};
+// Time in which a VM that was held up reads the messages that have waited.
+constexpr milliseconds BacklogTime{500};
 
 std::uint32_t toHundredths(double Value) {
   return static_cast<std::uint32_t>(std::lround(std::max(0.0, Value) * 100));
@@ -88,6 +92,19 @@
   return Message;
 }
 
+/** A message in its two forms. */
+struct encoded_message {
+  std::string Plain;
+  std::string ToForward; ///< to a VM that forwards it
+};
+
+encoded_message encodeBoth(gossip_message &Message) {
+  Message.MustForward = true;
+  auto ToForward = encodeGossip(Message);
+  Message.MustForward = false;
+  return {encodeGossip(Message), std::move(ToForward)};
+}
+
 } // namespace
 
 vm_gossip::vm_gossip(asio::io_context &Context, fleet_state &Fleet,
@@ -119,7 +136,7 @@
   Path.OnCrash = [Weak = weak_from_this()](const crash_evidence &Crash) {
     if (const auto Gossip = Weak.lock();
         Gossip && Gossip->Crashes.size() < MaxCrashes) {
-      Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
+      Gossip->Crashes.push_back({Crash.Fingerprint, Crash.Endpoint, 0});
       Gossip->sendNow(true);
     }
   };
@@ -142,7 +159,13 @@
   Timer.cancel();
 }
 
-void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll); }
+void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll, !ToAll); }
+
+void vm_gossip::noteTick(time_point Now) {
+  if (Now - LastTick > HeldUpTime)
+    BacklogUntil = Now + BacklogTime;
+  LastTick = Now;
+}
 
 milliseconds vm_gossip::interval() const {
   for (const auto &[Service, Rollout] : Fleet.rollouts())
@@ -187,7 +210,7 @@
     const bool IsFarDue = IsUrgent || Now >= NextFarSend;
     if (IsFarDue)
       NextFarSend = Now + Fleet.messageInterval(false);
-    send(Now, IsFarDue);
+    send(Now, IsFarDue, true);
     boost::system::error_code Error;
     Timer.expires_after(interval());
     co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
@@ -206,6 +229,7 @@
   Message.PeerHttpAddress = Vm.PeerHttpAddress;
   Message.IsStoreLost = Fleet.isStoreLost();
   Message.Cores = toHundredths(Vm.Cores);
+  Message.Sequence = ++LastSequence;
   Message.IsReady = !Fleet.isStopping() && Fleet.configuration() != nullptr;
   Message.IsBusy = Fleet.overload().isBusy(Now);
   Message.KnownVms = static_cast<std::uint32_t>(Fleet.vms().size());
@@ -241,7 +265,7 @@
 
 // Far VMs get messages less often; each contains the known objects that were
 // sent to near VMs since the previous one.
-void vm_gossip::send(time_point Now, bool ToAll) {
+void vm_gossip::send(time_point Now, bool ToAll, bool MayForward) {
   ++Round;
   auto Message = makeMessage(Now);
   const auto Updates = Path.takeKnownObjectUpdates();
@@ -252,35 +276,33 @@
       Updates.begin() +
           static_cast<std::ptrdiff_t>(std::min(Room, Updates.size())));
   Message.Known = groupByEndpoint(Updates);
-  const auto ToNear = encodeGossip(Message);
-  std::string ToFar;
+  const auto ToNear = encodeBoth(Message);
+  encoded_message ToFar;
   if (ToAll) {
     Message.Known = groupByEndpoint(std::exchange(FarObjectUpdates, {}));
-    ToFar = encodeGossip(Message);
+    ToFar = encodeBoth(Message);
   }
   Message.WantsReply = true;
   const auto Asking = encodeGossip(Message);
-  for (const auto &[Name, Vm] : Fleet.vms()) {
-    const bool IsNear = Fleet.isNear(Vm);
-    if (!ToAll && !IsNear)
-      continue;
-    const bool IsNeverHeard = Vm.LastHeard == time_point{};
-    const bool IsLongSilent = Now - Vm.LastHeard > LongSilence;
-    if (IsLongSilent && !IsNeverHeard && Round % SilentVmRounds != 0)
-      continue;
-    if (IsNeverHeard)
-      sendTo(Vm.GossipAddress, Asking);
-    else
-      sendTo(Vm.GossipAddress, IsNear ? ToNear : ToFar);
+  for (const auto &[Vm, MustForward] :
+       chooseRecipients(Fleet, Round, ToAll, MayForward, Now)) {
+    const auto &Text = Fleet.isNear(*Vm) ? ToNear : ToFar;
+    const bool IsNeverHeard = Vm->LastHeard == time_point{};
+    const auto &Datagram = MustForward ? Text.ToForward : Text.Plain;
+    sendTo(Vm->GossipAddress, IsNeverHeard ? Asking : Datagram,
+           traffic_kind::Gossip,
+           Fleet.distanceTo(Vm->Region, Vm->FailureDomain));
   }
   if (Fleet.vms().empty())
     for (const auto &Address : Fleet.options().Vm.SeedGossipAddresses)
       if (Address != Fleet.options().Vm.GossipAddress)
-        sendTo(Address, Asking);
+        sendTo(Address, Asking, traffic_kind::Gossip,
+               traffic_distance::Unknown);
 }
 
-void vm_gossip::sendTo(const std::string &Address,
-                       const std::string &Datagram) {
+void vm_gossip::sendTo(const std::string &Address, const std::string &Datagram,
+                       traffic_kind Kind, traffic_distance Distance) {
+  Fleet.traffic().add(Kind, Distance, Datagram.size());
   const auto Endpoint = parseUdp(Address);
   boost::system::error_code Error;
   if (Endpoint && Socket.is_open())
@@ -339,7 +361,9 @@
                              Ask.IsNear ? NearAnswerTimeout : FarAnswerTimeout);
   OpenAsks[Message.AskId] = {Ask.Home, Workspace.str(), Now, &Overdue,
                              &IsHomeEmpty};
-  sendTo(Home->second.GossipAddress, encodeTokens(Message));
+  sendTo(Home->second.GossipAddress, encodeTokens(Message),
+         traffic_kind::Tokens,
+         Fleet.distanceTo(Home->second.Region, Home->second.FailureDomain));
   boost::system::error_code Error;
   co_await Overdue.async_wait(asio::redirect_error(asio::use_awaitable, Error));
   Fleet.quota().endAsk(Workspace);
@@ -366,7 +390,12 @@
   Answer.Tokens = static_cast<float>(Grant.Tokens);
   Answer.RefuseForMs = static_cast<std::uint32_t>(Grant.RefuseFor.count());
   Answer.IsHome = Grant.IsHome;
-  sendTo(Ask.ReplyAddress, encodeTokens(Answer));
+  const auto Asker = Fleet.vms().find(vm_name(Ask.Sender));
+  sendTo(Ask.ReplyAddress, encodeTokens(Answer), traffic_kind::Tokens,
+         Asker == Fleet.vms().end()
+             ? traffic_distance::Unknown
+             : Fleet.distanceTo(Asker->second.Region,
+                                Asker->second.FailureDomain));
 }
 
 // An answer that arrives twice, or that was not asked for, brings no tokens.
@@ -387,9 +416,55 @@
   Ask.Overdue->cancel();
 }
 
+// A VM that has been held up reads messages that have waited in its socket.
+// Forwarding these would make their senders appear alive.
+void vm_gossip::forward(gossip_message Message, time_point Now) {
+  if (Now - LastTick > HeldUpTime)
+    BacklogUntil = Now + BacklogTime;
+  if (Now < BacklogUntil) {
+    ++NotForwarded;
+    return;
+  }
+  Message.MustForward = false;
+  const auto Datagram = encodeGossip(Message);
+  for (const auto *Vm : chooseForwardees(Fleet, vm_name(Message.Name), Now))
+    sendTo(Vm->GossipAddress, Datagram, traffic_kind::Gossip,
+           traffic_distance::SameFailureDomain);
+}
+
 void vm_gossip::applyMessage(const gossip_message &Message, time_point Now) {
   if (Message.Name == Fleet.options().Vm.Name.str())
     return;
+  applyIncrements(Message, Now);
+  if (!Fleet.isSuperseded(vm_name(Message.Name),
+                          static_cast<incarnation>(Message.Incarnation),
+                          Message.Sequence))
+    applyState(Message, Now);
+  if (Message.MustForward)
+    forward(Message, Now);
+  if (Message.WantsReply)
+    reply(Message, Now);
+}
+
+// What a message says once and no later one repeats.
+void vm_gossip::applyIncrements(const gossip_message &Message, time_point Now) {
+  for (const auto &Known : Message.Known)
+    if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
+      for (const auto Object : Known.Objects)
+        Endpoint->addKnownObject(Object, Now);
+  for (const auto &Crash : Message.Crashes)
+    if (Crash.AgeMs <= MaxCrashAgeMs)
+      Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint},
+                             Now - milliseconds(Crash.AgeMs));
+  for (const auto &Known : Message.Vms) {
+    known_vm Learned;
+    Learned.Name = vm_name(Known.Name);
+    Learned.GossipAddress = Known.Address;
+    Fleet.learnVm(std::move(Learned));
+  }
+}
+
+void vm_gossip::applyState(const gossip_message &Message, time_point Now) {
   const auto Before = Fleet.vms().find(vm_name(Message.Name));
   const bool IsNew = Before == Fleet.vms().end() ||
                      static_cast<std::uint64_t>(Before->second.Incarnation) !=
@@ -400,6 +475,7 @@
   known_vm Vm;
   Vm.Name = vm_name(Message.Name);
   Vm.Incarnation = static_cast<incarnation>(Message.Incarnation);
+  Vm.Sequence = Message.Sequence;
   Vm.Region = region_name(Message.Region);
   Vm.FailureDomain = failure_domain_name(Message.FailureDomain);
   Vm.CallerAddress = Message.CallerAddress;
@@ -422,26 +498,21 @@
   for (const auto &Load : Message.Loads)
     Loads.push_back({Load.Endpoint, Load.InFlight});
   Fleet.applyLoads(Vm.Name, std::move(Loads), Now);
-  for (const auto &Known : Message.Known)
-    if (const auto Endpoint = Fleet.endpoints().findByHash(Known.Endpoint))
-      for (const auto Object : Known.Objects)
-        Endpoint->addKnownObject(Object, Now);
   for (const auto &Seen : Message.Health)
     if (const auto Endpoint = Fleet.endpoints().findByHash(Seen.Endpoint))
       Endpoint->Health.applyPeer(
           Message.Name, {fromHundredths(Seen.Good), fromHundredths(Seen.Bad)},
           Now);
-  for (const auto &Crash : Message.Crashes)
-    Path.poison().addCrash({Crash.Fingerprint, Crash.Endpoint}, Now);
-  for (const auto &Known : Message.Vms) {
-    known_vm Learned;
-    Learned.Name = vm_name(Known.Name);
-    Learned.GossipAddress = Known.Address;
-    Fleet.learnVm(std::move(Learned));
-  }
-  if (!Message.WantsReply)
-    return;
+}
+
+void vm_gossip::reply(const gossip_message &Message, time_point Now) {
   auto Reply = makeMessage(Now);
+  for (const auto &[Evidence, Age] :
+       Path.poison().refusedRequests(MaxCrashes, Now))
+    Reply.Crashes.push_back(
+        {Evidence.Fingerprint, Evidence.Endpoint,
+         static_cast<std::uint64_t>(
+             std::chrono::duration_cast<milliseconds>(Age).count())});
   const auto IsDetailSender = [this] {
     return Fleet.draw() * static_cast<double>(Fleet.vmCount()) <
            ExpectedDetailSenders;
@@ -461,7 +532,9 @@
   if (KnowsNobody || (KnowsFew && IsDetailSender()))
     for (const auto &[Name, Known] : Fleet.vms())
       Reply.Vms.push_back({Name.str(), Known.GossipAddress});
-  sendTo(Message.GossipAddress, encodeGossip(Reply));
+  sendTo(Message.GossipAddress, encodeGossip(Reply), traffic_kind::Gossip,
+         Fleet.distanceTo(region_name(Message.Region),
+                          failure_domain_name(Message.FailureDomain)));
 }
 
 } // namespace sesamepaddle
