--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -68,8 +68,9 @@
   void setEvacuated(std::set<failure_domain_name> Domains, time_point Now);
 
   /** Starts the rollout of @p Order, which was issued @p Age ago. Does nothing
-      when this order is already known. */
-  void setRollout(const rollout_order &Order, duration Age, time_point Now);
+      when this order is already known.
+      @returns false when it is not taken up, as there are no terms for it */
+  bool setRollout(const rollout_order &Order, duration Age, time_point Now);
   void removeRollout(const service_name &Service);
   /** Stores the final outcome of a rollout; it also holds for requests after
       the order has been removed. */
@@ -144,6 +145,8 @@
   void updateQuota(time_point Now);
   attempt_budget &attempts() { return Attempts; }
   overload_gate &overload() { return Overload; }
+  /** Load headers of endpoints' answers. */
+  load_report_counts &loadReports() { return LoadReports; }
   std::map<service_name, fleet_rollout> &rollouts() { return Rollouts; }
   const std::map<vm_name, known_vm> &vms() const { return Vms; }
   const std::set<failure_domain_name> &evacuated() const { return Evacuated; }
@@ -277,6 +280,7 @@
   endpoint_registry Registry;
   workspace_quota Quota;
   attempt_budget Attempts;
+  load_report_counts LoadReports;
   overload_gate Overload;
   std::map<service_name, fleet_rollout> Rollouts;
   std::map<service_name, recorded_rollout> Recorded; ///< final outcomes
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -213,7 +213,8 @@
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
         "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
-        attemptMetricsText(), Sessions->Unfinished.prometheusText());
+        attemptMetricsText(), Sessions->Unfinished.prometheusText(),
+        Fleet.loadReports().prometheusText());
   }
 
   std::string attemptMetricsText() {
