--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -26,15 +26,24 @@
 constexpr std::size_t MaxBuffered = 64 * 1024;
 // Time to receive a whole body: 64 MB over a link of 20 Mbit/s.
 constexpr std::chrono::milliseconds BodyTimeout{30'000};
-// A caller that does not take its whole answer within this time counts as
+// A caller that takes no byte of its answer for this time counts as
 // disconnected.
-constexpr std::chrono::milliseconds WriteTimeout{10'000};
+constexpr std::chrono::milliseconds StallTimeout{10'000};
+// How often that is checked.
+constexpr std::chrono::milliseconds ProgressInterval{1'000};
+// The same, when it has not taken all of it by then: 64 MB over a link of 10
+// Mbit/s.
+constexpr std::chrono::milliseconds MaxSendTime{60'000};
 // A caller sends its request within this time after it has opened a connection.
 constexpr std::chrono::milliseconds FirstRequestTime{500};
-// After an error reply the session keeps reading for this long: closing a
-// socket with unread bytes resets the connection, and the caller could lose the
-// reply.
+// A session keeps reading for this long after its caller has received the last
+// answer: closing a socket with unread bytes resets the connection, and the
+// caller could lose the answer.
 constexpr std::chrono::milliseconds LingerTimeout{300};
+// Bound on what it drops in that time: a link of 200 Mbit/s.
+constexpr std::size_t MaxLingerBytes = 8U * 1024 * 1024;
+// Pause between two looks at the send queue of a caller that sends no more.
+constexpr std::chrono::milliseconds ReceiptInterval{50};
 
 /** Removes the first @p Count bytes of @p Buffers. */
 void consume(std::array<asio::const_buffer, 2> &Buffers, std::size_t Count) {
@@ -67,23 +76,59 @@
 
 awaitable<void> caller_session::run() {
   const auto Self = shared_from_this();
+  auto End = read_end::Whole;
   for (bool KeepAlive = true; KeepAlive;) {
     incoming Incoming(Context->Bodies);
-    const auto End = co_await readRequest(Incoming);
-    if (End != read_end::Whole) {
-      co_await refuse(End);
-      break;
-    }
-    KeepAlive = co_await serveOne(Incoming);
+    End = co_await readRequest(Incoming);
+    if (End == read_end::Whole)
+      KeepAlive = co_await serveOne(Incoming);
+    else
+      KeepAlive = co_await refuse(End);
   }
-  if (IsClosed)
+  if (IsServing)
     noteUnfinished(causeOfEnd());
+  // An idle caller that has received everything has nothing to lose.
+  else if (hasUnfinishedAnswer() || !(IsClosed || End == read_end::Idle))
+    co_await finish();
   boost::system::error_code Ignored;
-  if (!IsClosed)
-    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
   Socket.close(Ignored);
 }
 
+awaitable<void> caller_session::finish() {
+  boost::system::error_code Ignored;
+  IsSendClosed = true;
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  if (hasUnfinishedAnswer())
+    watchProgress();
+  co_await dropInput();
+  // The caller sends no more, and may still be receiving.
+  asio::steady_timer Pause(Socket.get_executor());
+  while (hasUnfinishedAnswer() && !IsReset && !IsStalled) {
+    Pause.expires_after(ReceiptInterval);
+    co_await Pause.async_wait(asio::use_awaitable);
+    boost::system::error_code Error;
+    Socket.read_some(asio::buffer(ReadSpace), Error);
+    noteEnd(Error);
+  }
+  StallTimer = {};
+  noteUnfinished(causeOfEnd());
+}
+
+awaitable<void> caller_session::dropInput() {
+  std::size_t Dropped = 0;
+  auto Until = boot_clock::now() + LingerTimeout;
+  while (!IsClosed && !IsStalled) {
+    co_await receive(Until);
+    Dropped += Buffer.size();
+    Buffer.consume(Buffer.size());
+    if (Dropped < MaxLingerBytes && boot_clock::now() < Until)
+      continue;
+    if (!hasUnfinishedAnswer())
+      co_return;
+    Until = boot_clock::now() + LingerTimeout;
+  }
+}
+
 void caller_session::wake() {
   boost::system::error_code Ignored;
   if (IsIdle)
@@ -138,7 +183,9 @@
 }
 
 std::size_t caller_session::unacknowledgedBytes() {
-  return Unwritten + sendQueueBytes(Socket);
+  // A FIN counts in the queue until it is acknowledged.
+  const auto Queued = sendQueueBytes(Socket);
+  return Unwritten + Queued - (IsSendClosed && Queued > 0 ? 1 : 0);
 }
 
 bool caller_session::hasUnfinishedAnswer() {
@@ -187,25 +234,42 @@
   Socket.cancel(Ignored);
 }
 
+// Some callers send an empty line behind a body, which belongs to no request
+// (RFC 9112, 2.2).
+void caller_session::dropEmptyLines() {
+  const auto Bytes = Buffer.cdata();
+  const std::string_view Text(static_cast<const char *>(Bytes.data()),
+                              Bytes.size());
+  Buffer.consume(std::min(Text.find_first_not_of("\r\n"), Text.size()));
+}
+
 awaitable<caller_session::read_end> caller_session::waitForFirstByte() {
   auto Until = boot_clock::now() + limits().IdleTimeout;
   // A body may have grown it to tens of kilobytes.
   if (Buffer.size() == 0 && Buffer.capacity() > HeadBytes)
     Buffer.shrink_to_fit();
+  dropEmptyLines();
   while (Buffer.size() == 0) {
     if (IsClosed)
       co_return read_end::Closed;
     if (Context->IsClosingIdle && !IsNew)
-      co_return read_end::Idle;
+      break;
     // The caller is about to send a request, which is refused or served.
     if (Context->IsClosingIdle)
       Until = std::min(Until, OpenedAt + FirstRequestTime);
     IsIdle = true;
     const bool HasBytes = co_await receive(Until);
     IsIdle = false;
+    dropEmptyLines();
     if (!HasBytes && boot_clock::now() >= Until)
-      co_return read_end::Idle;
+      break;
   }
+  // A request may have come since the connection was last looked at.
+  if (Buffer.size() == 0)
+    readAvailable();
+  dropEmptyLines();
+  if (Buffer.size() == 0)
+    co_return IsClosed ? read_end::Closed : read_end::Idle;
   IsNew = false;
   co_return read_end::Whole;
 }
@@ -379,29 +443,51 @@
 
 awaitable<boost::system::error_code>
 caller_session::writeRest(std::array<asio::const_buffer, 2> Buffers) {
-  const auto Timer =
-      Context->Deadlines.add(boot_clock::now() + WriteTimeout, [this] {
-        IsStalled = true;
-        boost::system::error_code Ignored;
-        Socket.close(Ignored);
-      });
+  watchProgress();
   boost::system::error_code Error;
-  while (Unwritten > 0 && !Error) {
+  while (Unwritten > 0 && !Error && !IsStalled) {
     const std::size_t Written = co_await Socket.async_write_some(
         Buffers, asio::redirect_error(asio::use_awaitable, Error));
     Unwritten -= Written;
     consume(Buffers, Written);
   }
+  StallTimer = {};
+  if (IsStalled)
+    Error = asio::error::timed_out;
   co_return Error;
 }
 
-awaitable<void> caller_session::refuse(read_end End) {
+void caller_session::watchProgress() {
+  const auto Now = boot_clock::now();
+  Progress = {unacknowledgedBytes(), Now + StallTimeout, Now + MaxSendTime};
+  StallTimer = Context->Deadlines.add(Now + ProgressInterval,
+                                      [this] { checkProgress(); });
+}
+
+// A write ends only when a large part of the socket's buffer is free, so that
+// it does not show the progress of a slow caller.
+void caller_session::checkProgress() {
+  const auto Now = boot_clock::now();
+  const auto Left = unacknowledgedBytes();
+  if (Left < std::exchange(Progress.Left, Left))
+    Progress.StallAt = Now + StallTimeout;
+  if (Now < std::min(Progress.StallAt, Progress.Until)) {
+    StallTimer = Context->Deadlines.add(Now + ProgressInterval,
+                                        [this] { checkProgress(); });
+    return;
+  }
+  IsStalled = true;
+  boost::system::error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
+awaitable<bool> caller_session::refuse(read_end End) {
   http_reply Reply;
   switch (End) {
   case read_end::Whole:
   case read_end::Closed:
   case read_end::Idle:
-    co_return;
+    co_return false;
   case read_end::Slow:
     Reply = makeJsonReply(408, "{\"error\":\"slow-request\"}\n");
     break;
@@ -418,13 +504,8 @@
     Reply = makeJsonReply(503, "{\"error\":\"no-memory-for-body\"}\n");
     break;
   }
-  if (!co_await write(Reply, false, false))
-    co_return;
-  boost::system::error_code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  const auto Until = boot_clock::now() + LingerTimeout;
-  while (!IsClosed && co_await receive(Until))
-    Buffer.consume(Buffer.size());
+  co_await write(Reply, false, false);
+  co_return false;
 }
 
 } // namespace sesamepaddle
