Slow callers with long answers do not fail the requests of others

What callers saw: two callers that held whole answers of 8.7 MB and one of 6.6 MB without reading, 24 MB together, failed all others. 20 of 20 orders ran and got 502; 20 of 20 safe requests failed with 40 arrivals. The sound endpoints got 18 bad marks with the orders and 38 with the safe requests.

Cause: all answers share one bound, and whole answers were never given up. What had no room was taken for a fault of its endpoint and repeated.

Now answers up to 64 KiB have an eighth of the answers' memory to themselves, and a part of each answer does not count: 10% of the VM's memory through the number of callers' connections, since each has at most one answer (13 KiB with 260 MB and 2,050 connections), at most 64 KiB. When room is needed, the first to go is an arriving answer that may have no end, then the whole one whose caller has taken nothing for longest, and for 2 s at least; its connection is closed, counted and logged as memory-needed. An answer without room beside others ends with 502, is not repeated and is no fault of its endpoint, nor of a rollout.

Ruled out: refusing requests while whole answers fill the memory. It would refuse the small ones as well, which have room.

--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -176,6 +176,8 @@
 }
 
 unfinished_cause caller_session::causeOfEnd() const {
+  if (IsGivenUp)
+    return unfinished_cause::MemoryNeeded;
   if (IsStalled)
     return unfinished_cause::CallerStalled;
   return IsReset ? unfinished_cause::CallerReset
@@ -402,7 +404,9 @@
   if (IsGone)
     co_return false;
   const bool KeepAlive = WantsKeepAlive && !Context->Fleet.isStopping();
+  AnswerMemory = Answer.Memory;
   const bool IsWritten = co_await write(Answer.Reply, KeepAlive, IsHead);
+  AnswerMemory = nullptr;
   co_return IsWritten &&KeepAlive;
 }
 
@@ -444,6 +448,11 @@
 awaitable<boost::system::error_code>
 caller_session::writeRest(std::array<asio::const_buffer, 2> Buffers) {
   watchProgress();
+  if (AnswerMemory)
+    AnswerMemory->beginTaking(boot_clock::now(), [this] {
+      IsGivenUp = true;
+      noteStall();
+    });
   boost::system::error_code Error;
   while (Unwritten > 0 && !Error && !IsStalled) {
     const std::size_t Written = co_await Socket.async_write_some(
@@ -452,6 +461,8 @@
     consume(Buffers, Written);
   }
   StallTimer = {};
+  if (AnswerMemory)
+    AnswerMemory->endTaking();
   if (IsStalled)
     Error = asio::error::timed_out;
   co_return Error;
@@ -469,13 +480,20 @@
 void caller_session::checkProgress() {
   const auto Now = boot_clock::now();
   const auto Left = unacknowledgedBytes();
-  if (Left < std::exchange(Progress.Left, Left))
+  if (Left < std::exchange(Progress.Left, Left)) {
     Progress.StallAt = Now + StallTimeout;
+    if (AnswerMemory)
+      AnswerMemory->noteProgress(Now);
+  }
   if (Now < std::min(Progress.StallAt, Progress.Until)) {
     StallTimer = Context->Deadlines.add(Now + ProgressInterval,
                                         [this] { checkProgress(); });
     return;
   }
+  noteStall();
+}
+
+void caller_session::noteStall() {
   IsStalled = true;
   boost::system::error_code Ignored;
   Socket.cancel(Ignored);
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -129,6 +129,8 @@
       until StallTimer is withdrawn. */
   void watchProgress();
   void checkProgress();
+  /** Ends the current operation of a caller that does not take its answer. */
+  void noteStall();
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
   read_end checkFraming(const incoming &Incoming) const;
   /** @returns the current configuration's limits, or the defaults. */
@@ -147,6 +149,8 @@
   std::size_t Unwritten =
       0; ///< bytes of the answer, not in the socket's buffer
   progress Progress;
+  /** Of the answer that is being written. */
+  std::shared_ptr<body_memory::holding> AnswerMemory;
   deadline_queue::registration StallTimer; ///< of checkProgress()
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
@@ -156,6 +160,7 @@
   bool IsSendClosed = false; ///< the VM sends no more
   bool IsReset = false;      ///< the caller reset the connection
   bool IsStalled = false;    ///< the caller took too long for its answer
+  bool IsGivenUp = false;    ///< and others needed the memory of the answer
   bool IsServing = false;    ///< a request has been read and is not answered
   bool IsUnfinishedNoted = false; ///< noteUnfinished() has counted the answer
 };
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -39,7 +39,13 @@
 // Fraction of a VM's memory that the bodies of all requests together may use,
 // and that of all answers. The rest is for everything else.
 constexpr double BodyMemoryFraction = 0.4;
-
+// Fraction that the first bytes of all answers together may use besides. A
+// connection of a caller has at most one answer, so that each has its part.
+constexpr double SmallAnswerFraction = 0.1;
+// Part of the answers' memory that only small answers may use.
+constexpr double SmallAnswerReserve = 0.125;
+// Bound on a small answer. Ordinary answers are shorter.
+constexpr std::size_t MaxSmallAnswerBytes = 64U * 1024;
 // Fraction of a VM's descriptors that callers' connections may take. Each of
 // them may need one to an endpoint as well.
 constexpr double CallerDescriptorFraction = 0.5;
@@ -51,9 +57,23 @@
                                   CallerDescriptorFraction);
 }
 
-std::shared_ptr<body_memory> makeBodyMemory(const fleet_bounds &Bounds) {
-  return std::make_shared<body_memory>(static_cast<std::size_t>(
-      static_cast<double>(Bounds.MemoryBytes) * BodyMemoryFraction));
+std::size_t fractionOf(std::size_t Bytes, double Fraction) {
+  return static_cast<std::size_t>(static_cast<double>(Bytes) * Fraction);
+}
+
+std::shared_ptr<body_memory> makeRequestMemory(const fleet_bounds &Bounds) {
+  return std::make_shared<body_memory>(
+      fractionOf(Bounds.MemoryBytes, BodyMemoryFraction));
+}
+
+std::shared_ptr<body_memory> makeAnswerMemory(const fleet_bounds &Bounds) {
+  const auto ForEach = fractionOf(Bounds.MemoryBytes, SmallAnswerFraction) /
+                       std::max<std::size_t>(1, maxCallerConnections(Bounds));
+  const auto Limit = fractionOf(Bounds.MemoryBytes, BodyMemoryFraction);
+  return std::make_shared<body_memory>(
+      Limit, body_memory::small_bodies{std::min(MaxSmallAnswerBytes, ForEach),
+                                       MaxSmallAnswerBytes,
+                                       fractionOf(Limit, SmallAnswerReserve)});
 }
 
 } // namespace
@@ -65,8 +85,8 @@
                  platform_handler Extra)
       : Pool(Pool), Fleet(std::move(Options)),
         Deadlines(Pool.context(0).get_executor()),
-        RequestBodies(makeBodyMemory(Fleet.options().Bounds)),
-        AnswerBodies(makeBodyMemory(Fleet.options().Bounds)),
+        RequestBodies(makeRequestMemory(Fleet.options().Bounds)),
+        AnswerBodies(makeAnswerMemory(Fleet.options().Bounds)),
         Upstreams(Fleet.options().Fields.RequestId, Deadlines, AnswerBodies),
         Path(Fleet, Upstreams, Metrics, Decisions),
         Sessions(std::make_shared<session_context>(session_context{
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -142,6 +142,8 @@
     return "malformed";
   case exchange_end::TooLong:
     return "too-long";
+  case exchange_end::CrowdedOut:
+    return "no-memory-for-answer";
   case exchange_end::Cancelled:
     return "caller-left";
   }
@@ -522,6 +524,9 @@
     if (!State.IsLateCounted && !Endpoint.isCold(Now))
       Endpoint.Health.add(true, Now);
     break;
+  case exchange_end::CrowdedOut:
+    Endpoint.addAnswer();
+    return;
   case exchange_end::Cancelled:
     return;
   case exchange_end::Answered: {
@@ -693,6 +698,12 @@
           : refuse(State, 503, "endpoint-full", ShortRetrySeconds);
     }
     State.MayHaveRun = true;
+    // Another answer would have no more room. What has no room now are its
+    // bytes: it says nothing of the endpoint.
+    if (Result.End == exchange_end::CrowdedOut) {
+      State.Reason = outcomeName(Result);
+      co_return unknownOutcomeReply(State);
+    }
     State.Reason = Result.End == exchange_end::TimedOut  ? "timed-out"
                    : Result.End == exchange_end::TooLong ? "too-long"
                                                          : "lost";
--- a/src/ingress/unfinished_answers.cpp
+++ b/src/ingress/unfinished_answers.cpp
@@ -12,6 +12,8 @@
     return "caller-reset";
   case unfinished_cause::CallerStalled:
     return "caller-stalled";
+  case unfinished_cause::MemoryNeeded:
+    return "memory-needed";
   case unfinished_cause::VmEnded:
     return "vm-ended";
   case unfinished_cause::Failed:
--- a/src/ingress/unfinished_answers.h
+++ b/src/ingress/unfinished_answers.h
@@ -14,6 +14,7 @@
   CallerClosed,  ///< the caller ended its sending side
   CallerReset,   ///< the caller or the network reset the connection
   CallerStalled, ///< the caller did not take the answer in time
+  MemoryNeeded,  ///< it took nothing, and other answers needed the memory
   VmEnded,       ///< the VM's grace period is over
   Failed,        ///< an error in the VM
 };
@@ -34,7 +35,7 @@
   std::string prometheusText() const;
 
 private:
-  static constexpr std::size_t Causes = 5;
+  static constexpr std::size_t Causes = 6;
   std::array<std::size_t, Causes> Counts{};
 };
 
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -295,9 +295,11 @@
 }
 
 /** @returns how an exchange ended whose answer could not be read. */
-exchange_end failedRead(const boost::system::error_code &Error) {
+exchange_end failedRead(const boost::system::error_code &Error,
+                        const body_memory::holding &Memory) {
   if (Error == asio::error::no_memory)
-    return exchange_end::TooLong;
+    return Memory.isCrowdedOut() ? exchange_end::CrowdedOut
+                                 : exchange_end::TooLong;
   const bool IsInvalidHttp =
       Error.category() ==
           http::make_error_code(http::error::bad_version).category() &&
@@ -329,7 +331,7 @@
     if (Memory->isGivenUp())
       Error = asio::error::no_memory;
     if (Error) {
-      Result.End = failedRead(Error);
+      Result.End = failedRead(Error, *Memory);
       Result.Detail = Error.message();
       co_return Result;
     }
--- a/src/ingress/upstream_pool.h
+++ b/src/ingress/upstream_pool.h
@@ -72,7 +72,8 @@
   Withdrawn,    ///< nothing was sent: it was not wanted any more
   Lost,         ///< sent; the connection ended before the whole answer
   Malformed,    ///< sent; invalid response, or only for other requests
-  TooLong,      ///< sent; no memory is left for the answer
+  TooLong,      ///< sent; the answer may have no end, and memory is short
+  CrowdedOut,   ///< sent; other answers hold the memory for it
   TimedOut,     ///< sent; no answer before the deadline
   Cancelled,    ///< the caller disconnected; may have been sent
 };
--- a/tests/net/body_memory_test.cpp
+++ b/tests/net/body_memory_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -93,6 +94,83 @@
   }
 }
 
+TEST_CASE("large bodies leave room for small ones") {
+  const auto Memory = std::make_shared<body_memory>(
+      1'000, body_memory::small_bodies{10, 50, 200});
+  body_memory::holding Large(Memory, [] {});
+  CHECK_FALSE(Large.resize(811));
+  CHECK(Large.resize(810));
+  Large.setWhole();
+  CHECK(Memory->held() == 800);
+  std::vector<std::unique_ptr<body_memory::holding>> Small;
+  for (int Number = 0; Number < 4; ++Number) {
+    Small.push_back(std::make_unique<body_memory::holding>(Memory));
+    CHECK(Small.back()->resize(60));
+  }
+  CHECK(Memory->held() == 1'000);
+  // What is free for each body never runs out.
+  body_memory::holding Last(Memory);
+  CHECK(Last.resize(10));
+  CHECK_FALSE(Last.resize(11));
+  CHECK(Last.isCrowdedOut());
+}
+
+TEST_CASE("a whole body is given up only while its taker makes no progress") {
+  const auto Memory = std::make_shared<body_memory>(1'000);
+  const auto Now = boot_clock::now();
+  std::vector<int> GivenUp;
+  body_memory::holding First(Memory);
+  body_memory::holding Second(Memory);
+  REQUIRE(First.resize(400));
+  REQUIRE(Second.resize(400));
+  body_memory::holding Next(Memory, [] {});
+  Next.setLengthKnown();
+  First.beginTaking(Now - std::chrono::seconds(20),
+                    [&] { GivenUp.push_back(1); });
+  Second.beginTaking(Now - std::chrono::seconds(30),
+                     [&] { GivenUp.push_back(2); });
+
+  SUBCASE("the one without progress for longest is the first") {
+    CHECK(Next.resize(500));
+    CHECK(GivenUp == std::vector{2});
+    CHECK(Second.isGivenUp());
+    CHECK(Memory->held() == 900);
+    CHECK(Next.resize(900));
+    CHECK(GivenUp == std::vector{2, 1});
+  }
+
+  SUBCASE("progress keeps it") {
+    First.noteProgress(Now + std::chrono::hours(1));
+    Second.noteProgress(Now + std::chrono::hours(1));
+    CHECK_FALSE(Next.resize(500));
+    CHECK(Next.isCrowdedOut());
+    CHECK(GivenUp.empty());
+  }
+
+  SUBCASE("it is not given up when nobody takes it any more") {
+    First.endTaking();
+    Second.endTaking();
+    CHECK_FALSE(Next.resize(500));
+    CHECK(GivenUp.empty());
+  }
+
+  SUBCASE("nothing is given up for a body that never fits") {
+    CHECK_FALSE(Next.resize(1'001));
+    CHECK_FALSE(Next.isCrowdedOut());
+    CHECK(GivenUp.empty());
+  }
+
+  SUBCASE("first comes a body that may have no end") {
+    bool IsEndlessGivenUp = false;
+    body_memory::holding Endless(Memory, [&] { IsEndlessGivenUp = true; });
+    REQUIRE(Endless.resize(150));
+    CHECK(Next.resize(180));
+    CHECK(IsEndlessGivenUp);
+    CHECK(GivenUp.empty());
+    CHECK_FALSE(Endless.isCrowdedOut());
+  }
+}
+
 TEST_CASE("fuzz: bodies never hold more than the limit, and each is whole, "
           "refused or given up") {
   const bool IsBounded = rc::check([] {
