--- a/tests/ingress/caller_session_test.cpp
+++ b/tests/ingress/caller_session_test.cpp
@@ -21,6 +21,25 @@
     return Options;
   }
 
+  /** Makes all requests wait for an endpoint that never answers. */
+  void useSilentEndpoint() {
+    configuration_content Content;
+    Content.Version = 1;
+    fleet_route Route;
+    Route.Prefix = "/";
+    Route.Timeout = std::chrono::seconds(60);
+    Route.Services = {{service_name("orders"), 1}};
+    Content.RoutesByHost["shop.example"] = {Route};
+    Fleet.setConfiguration(
+        std::make_shared<fleet_configuration>(std::move(Content)));
+    endpoint_record Record;
+    Record.Id = endpoint_id("i-0");
+    Record.Address =
+        "127.0.0.1:" + std::to_string(Silent.local_endpoint().port());
+    Record.Service = service_name("orders");
+    Fleet.endpoints().apply(Record, boot_clock::now());
+  }
+
   std::shared_ptr<caller_session> accept() {
     auto Socket = Acceptor.accept();
     Socket.non_blocking(true);
@@ -29,6 +48,7 @@
 
   asio::io_context Context{1};
   tcp::acceptor Acceptor{Context, {asio::ip::address_v4::loopback(), 0}};
+  tcp::acceptor Silent{Context, {asio::ip::address_v4::loopback(), 0}};
   raw_connection Caller{Acceptor.local_endpoint()};
   fleet_state Fleet{makeOptions()};
   deadline_queue Deadlines{Context.get_executor()};
@@ -62,3 +82,28 @@
   Bed.Context.run_for(milliseconds(50));
   CHECK(Bed.Caller.readBytes(12, milliseconds(500)) == "HTTP/1.1 503");
 }
+
+TEST_CASE("an unfinished answer is counted by its cause") {
+  session_bed Bed;
+  Bed.useSilentEndpoint();
+  Bed.Caller.send(Request);
+  Bed.Context.run_for(milliseconds(50));
+  CHECK(Bed.Session->hasUnfinishedAnswer());
+  auto Cause = unfinished_cause::CallerClosed;
+
+  SUBCASE("the caller ends its sending side") { Bed.Caller.shutdownSend(); }
+  SUBCASE("the caller resets the connection") {
+    Cause = unfinished_cause::CallerReset;
+    Bed.Caller.reset();
+  }
+  SUBCASE("the VM ends") {
+    Cause = unfinished_cause::VmEnded;
+    Bed.Session->noteUnfinished(Cause);
+    Bed.Caller.shutdownSend();
+  }
+  Bed.Context.run_for(milliseconds(50));
+  CHECK(Bed.Shared->Unfinished.count(Cause) == 1);
+  CHECK(Bed.Shared->Unfinished.prometheusText().find(
+            std::string("{cause=\"") + nameOf(Cause) + "\"} 1\n") !=
+        std::string::npos);
+}
--- a/tests/support/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -23,6 +23,12 @@
   Socket.shutdown(tcp::socket::shutdown_send, Ignored);
 }
 
+void raw_connection::reset() {
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
 void raw_connection::send(std::string_view Bytes) {
   while (!Bytes.empty()) {
     const auto Count = ::send(Socket.native_handle(), Bytes.data(),
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -27,6 +27,9 @@
   /** Closes the sending side, as a caller that sends no more requests. */
   void shutdownSend();
 
+  /** Resets the connection. */
+  void reset();
+
   /** Reads until @p Count bytes have come, the server closes the connection or
       @p Limit has passed, and sets isClosed(). @returns the bytes read. */
   std::string readBytes(std::size_t Count, std::chrono::milliseconds Limit);
