Requests that a caller sends ahead run side by side

Callers saw: a request that was sent before an earlier one was answered waited for that one.

Cause: a session ran one request at a time, and read the next one only after its answer.

Change: while a request runs, those behind it are read. One on a route that may be repeated starts at once; its answer waits for its turn and is written whole. Anything else waits until all before it are answered, and nothing runs beside it. An answer closes the connection only when no request behind it has started: a planned stop answers all that run and starts nothing new, a request with 'Connection: close' is the last that is read, a malformed one is refused in its turn. A caller that leaves cancels all. Running ahead is limited in requests and bytes, on a connection and over all of a VM (requests_ahead in the settings); at a limit, and while a write waits for its caller, reading stops. A route that may no longer be repeated when a request is sent again is refused as not run, unless it is in front by then.

Ruled out: passing unsafe requests on as well, since a failed write would leave one that ran and counts as not read; a coroutine that reads beside one for each request, since single requests would pay two passes of the loop.

The path of single requests is as before.

--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -1,6 +1,7 @@
 #include "sesamepaddle/admission/attempt_budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sesamepaddle {
 
@@ -52,12 +53,18 @@
                                          const attempt_limits &Limits,
                                          std::size_t Vms, time_point Now) {
   auto &Window = Windows[Service];
+  retry_decision Decision;
+  if (std::isinf(Limits.Slack)) {
+    ++Window.Totals.Retries;
+    Decision.MaxRetries = Limits.Slack;
+    Decision.IsAllowed = true;
+    return Decision;
+  }
   // What reaches the service within a window was decided within a longer one,
   // and has to be due to requests that an observer counts in a shorter one.
   const auto RetryWindow = Limits.Window + TransitTime;
   dropBefore(Window.Requests, Now - (Limits.Window - TransitTime));
   dropBefore(Window.Retries, Now - RetryWindow);
-  retry_decision Decision;
   Decision.Retries = Window.Retries.size();
   Decision.Vms = std::max<std::size_t>(Vms, 1);
   Decision.MaxRetries =
--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "sesamepaddle/core/text.h"
 #include "sesamepaddle/net/send_queue.h"
+#include "sesamepaddle/net/supervised_loop.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -78,17 +79,25 @@
   const auto Self = shared_from_this();
   auto End = read_end::Whole;
   for (bool KeepAlive = true; KeepAlive;) {
-    incoming Incoming(Context->Bodies);
-    End = co_await readRequest(Incoming);
+    if (!Ahead.empty()) {
+      KeepAlive = co_await answerAhead();
+      continue;
+    }
+    End = co_await readRequest();
     if (End == read_end::Whole)
-      KeepAlive = co_await serveOne(Incoming);
+      KeepAlive = co_await serveOne();
     else
       KeepAlive = co_await refuse(End);
   }
-  if (IsServing)
+  const bool IsUnanswered = IsServing;
+  if (IsUnanswered)
     noteUnfinished(causeOfEnd());
+  // There are such only when the caller has left or takes no answers.
+  cancelAll();
+  Ahead.clear();
   // An idle caller that has received everything has nothing to lose.
-  else if (hasUnfinishedAnswer() || !(IsClosed || End == read_end::Idle))
+  if (!IsUnanswered &&
+      (hasUnfinishedAnswer() || !(IsClosed || End == read_end::Idle)))
     co_await finish();
   boost::system::error_code Ignored;
   Socket.close(Ignored);
@@ -189,14 +198,16 @@
 }
 
 bool caller_session::hasUnfinishedAnswer() {
-  return !IsUnfinishedNoted && (IsServing || unacknowledgedBytes() > 0);
+  return !IsUnfinishedNoted &&
+         (IsServing || !Ahead.empty() || unacknowledgedBytes() > 0);
 }
 
 void caller_session::noteUnfinished(unfinished_cause Cause) {
   if (!hasUnfinishedAnswer())
     return;
   IsUnfinishedNoted = true;
-  Context->Unfinished.add(Cause);
+  for (std::size_t Count = 0; Count < Ahead.size() + 1; ++Count)
+    Context->Unfinished.add(Cause);
   // The log of requests names callers that left before their answer.
   const bool HasLeft = Cause == unfinished_cause::CallerClosed ||
                        Cause == unfinished_cause::CallerReset;
@@ -204,7 +215,8 @@
     return;
   Context->Log.warn(absl::StrCat(
       "answer unfinished cause=", nameOf(Cause), " request=", RequestId,
-      " is_written=", !IsServing, " bytes_left=", unacknowledgedBytes()));
+      " is_written=", !IsServing, " bytes_left=", unacknowledgedBytes(),
+      " behind=", Ahead.size()));
 }
 
 // Only a read shows that the caller has disconnected.
@@ -219,13 +231,22 @@
                         return;
                       Self->IsWatching = false;
                       Self->readAvailable();
-                      if (Self->IsClosed && Self->Cancel)
-                        Self->Cancel->cancel();
-                      else if (Self->Cancel)
+                      if (Self->IsClosed)
+                        Self->cancelAll();
+                      else if (Self->Cancel) {
+                        Self->readAhead();
                         Self->watch();
+                      }
                     });
 }
 
+void caller_session::cancelAll() {
+  if (Cancel)
+    Cancel->cancel();
+  for (const auto &Request : Ahead)
+    Request->Cancel->cancel();
+}
+
 void caller_session::stopWatching() {
   if (!std::exchange(IsWatching, false))
     return;
@@ -320,44 +341,60 @@
   return read_end::Whole;
 }
 
-awaitable<caller_session::read_end>
-caller_session::readRequest(incoming &Incoming) {
-  const auto Idle = co_await waitForFirstByte();
-  if (Idle != read_end::Whole)
-    co_return Idle;
+caller_session::read_end caller_session::parseAndCheck(incoming &Incoming,
+                                                       bool &HasProgress) {
+  const auto End = parseBuffer(Incoming, HasProgress);
+  if (End != read_end::Whole || !Incoming.Parser.is_header_done() ||
+      std::exchange(Incoming.IsHeaderChecked, true))
+    return End;
+  return checkFraming(Incoming);
+}
+
+void caller_session::beginRequest() {
+  Next = std::make_unique<incoming>(Context->Bodies);
   const auto Now = boot_clock::now();
-  Incoming.Arrival = Now - Context->Monitor->noteRequest(Now);
-  auto &Parser = Incoming.Parser;
+  Next->Arrival = Now - Context->Monitor->noteRequest(Now);
   const auto Limits = limits();
+  auto &Parser = Next->Parser;
   Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser.body_limit(Limits.BodyBytes);
   Parser.eager(true);
-  auto Until = Now + Limits.HeaderTimeout;
+}
+
+awaitable<caller_session::read_end> caller_session::readRequest() {
+  if (!Next) {
+    const auto Idle = co_await waitForFirstByte();
+    if (Idle != read_end::Whole)
+      co_return Idle;
+    beginRequest();
+  }
+  auto &Incoming = *Next;
+  auto &Parser = Incoming.Parser;
+  if (Incoming.End != read_end::Whole)
+    co_return Incoming.End;
+  auto Until = boot_clock::now() + limits().HeaderTimeout;
   while (!Parser.is_done()) {
+    bool HasProgress = false;
     if (Buffer.size() > 0) {
-      bool HasProgress = false;
-      const auto End = parseBuffer(Incoming, HasProgress);
+      const auto End = parseAndCheck(Incoming, HasProgress);
       if (End != read_end::Whole)
         co_return End;
-      if (Parser.is_header_done() &&
-          !std::exchange(Incoming.IsHeaderChecked, true)) {
-        if (const auto Framing = checkFraming(Incoming);
-            Framing != read_end::Whole)
-          co_return Framing;
-        Until = boot_clock::now() + BodyTimeout;
-        if (!Parser.is_done() &&
-            beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
-          static constexpr std::string_view Continue =
-              "HTTP/1.1 100 Continue\r\n\r\n";
-          boost::system::error_code Ignored;
-          co_await asio::async_write(
-              Socket, asio::buffer(Continue),
-              asio::redirect_error(asio::use_awaitable, Ignored));
-        }
+    }
+    if (Parser.is_header_done() &&
+        !std::exchange(Incoming.IsBodyAwaited, true)) {
+      Until = boot_clock::now() + BodyTimeout;
+      if (!Parser.is_done() &&
+          beast::iequals(Parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view Continue =
+            "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::system::error_code Ignored;
+        co_await asio::async_write(
+            Socket, asio::buffer(Continue),
+            asio::redirect_error(asio::use_awaitable, Ignored));
       }
-      if (HasProgress || Parser.is_done())
-        continue;
     }
+    if (HasProgress || Parser.is_done())
+      continue;
     if (IsClosed)
       co_return read_end::Closed;
     if (!co_await receive(Until) && boot_clock::now() >= Until)
@@ -366,7 +403,150 @@
   co_return read_end::Whole;
 }
 
-awaitable<bool> caller_session::serveOne(incoming &Incoming) {
+bool caller_session::hasRoomAhead() const {
+  const auto &Limits = Context->Fleet.options().Ahead;
+  const auto &Vm = Context->Ahead;
+  std::size_t Bytes = 0;
+  for (const auto &Request : Ahead)
+    Bytes += Request->bytes();
+  return Ahead.size() < Limits.ConnectionRequests &&
+         Bytes < Limits.ConnectionBytes && Vm.Requests < Limits.VmRequests &&
+         Vm.Bytes < Limits.VmBytes;
+}
+
+bool caller_session::mayReadAhead() const {
+  // During a stop the caller has other VMs.
+  return Cancel != nullptr && !IsClosed && !IsLastRead &&
+         !Context->Fleet.isStopping() && !(Next && Next->MustWait);
+}
+
+// Nothing runs beside a request that may not be repeated: its caller may expect
+// to see its effect in what it asks next (RFC 9112, 9.3.2).
+void caller_session::readAhead() {
+  if (Buffer.size() == 0 || (Current != nullptr && !mayRepeat(*Current)))
+    return;
+  while (mayReadAhead()) {
+    if (!Next) {
+      dropEmptyLines();
+      if (Buffer.size() == 0)
+        return;
+      if (!takeRoomAhead())
+        return;
+      beginRequest();
+    }
+    // Others may have taken the room while it was read.
+    if (!parseAhead() || !takeRoomAhead())
+      return;
+    startAhead();
+  }
+}
+
+bool caller_session::takeRoomAhead() {
+  const bool HasRoom = hasRoomAhead();
+  if (!HasRoom && !IsAheadPaused)
+    ++Context->Ahead.Paused;
+  IsAheadPaused = !HasRoom;
+  return HasRoom;
+}
+
+void caller_session::postReadAhead() {
+  if (std::exchange(IsReadAheadPosted, true))
+    return;
+  asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+    Self->IsReadAheadPosted = false;
+    Self->readAhead();
+  });
+}
+
+bool caller_session::parseAhead() {
+  auto &Incoming = *Next;
+  while (!Incoming.Parser.is_done()) {
+    bool HasProgress = false;
+    if (Buffer.size() > 0)
+      Incoming.End = parseAndCheck(Incoming, HasProgress);
+    Incoming.MustWait =
+        Incoming.End != read_end::Whole ||
+        (Incoming.Parser.is_header_done() && !mayRepeat(Incoming));
+    if (Incoming.MustWait || !HasProgress)
+      return false;
+  }
+  return true;
+}
+
+bool caller_session::mayRepeat(const incoming &Incoming) const {
+  const auto Configuration = Context->Fleet.configuration();
+  const auto &Message = Incoming.Parser.get();
+  const std::string_view Host(Message[http::field::host].data(),
+                              Message[http::field::host].size());
+  const std::string_view Target(Message.target().data(),
+                                Message.target().size());
+  const auto *Route = Configuration
+                          ? Configuration->findRoute(Host, targetPath(Target))
+                          : nullptr;
+  return Route != nullptr && Route->Kind == request_kind::Idempotent;
+}
+
+void caller_session::startAhead() {
+  const std::shared_ptr<incoming> Incoming = std::move(Next);
+  const auto Request = std::make_shared<ahead_request>(
+      Context->Ahead, Incoming->Parser.get().body().size());
+  Request->Request = makeRequest(*Incoming, Request->Cancel);
+  Request->BodyMemory = Incoming;
+  Request->Request.IsBehind = [Request = Request.get()] {
+    return !Request->isFirst();
+  };
+  Request->RequestId = idOf(Request->Request.Message);
+  Request->IsHead = Request->Request.Message.Method == "HEAD";
+  Request->WantsKeepAlive = !IsLastRead;
+  Ahead.push_back(Request);
+  Context->Ahead.MaxOnConnection =
+      std::max(Context->Ahead.MaxOnConnection, Ahead.size() + 1);
+  asio::co_spawn(
+      Socket.get_executor(), runAhead(Request),
+      [Self = shared_from_this(), Request](const std::exception_ptr &Error) {
+        if (!Error)
+          return;
+        Self->Context->Log.error("request failed error=" +
+                                 describeException(Error));
+        Request->setAnswer(
+            {makeJsonReply(502, "{\"error\":\"internal\"}\n"), nullptr});
+      });
+}
+
+awaitable<void>
+caller_session::runAhead(std::shared_ptr<ahead_request> Request) {
+  auto Answer = co_await Context->Path.run(std::move(Request->Request));
+  Request->Cancel->LookForCancel = nullptr;
+  Request->BodyMemory = nullptr;
+  Request->setAnswer(std::move(Answer));
+}
+
+awaitable<bool> caller_session::answerAhead() {
+  const auto Request = Ahead.front();
+  Ahead.pop_front();
+  Request->becomeFirst();
+  Cancel = Request->Cancel;
+  RequestId = Request->RequestId;
+  IsServing = true;
+  if (IsClosed)
+    cancelAll();
+  readAhead();
+  if (!Request->hasAnswer()) {
+    if (!IsWatching)
+      watch();
+    co_await Request->wait();
+  }
+  if (!endProgress())
+    co_return false;
+  const bool KeepAlive = mayKeep(Request->WantsKeepAlive);
+  const bool IsWritten =
+      co_await write(Request->reply(), KeepAlive, Request->IsHead);
+  co_return IsWritten &&KeepAlive;
+}
+
+ingress_request
+caller_session::makeRequest(incoming &Incoming,
+                            const std::shared_ptr<cancel_source> &OfRequest) {
   auto &Message = Incoming.Parser.get();
   ingress_request Request;
   Request.Arrival = Incoming.Arrival;
@@ -376,36 +556,58 @@
     Request.Message.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
   Request.Message.Body = std::move(Message.body());
-  Cancel = std::make_shared<cancel_source>();
-  Cancel->LookForCancel = [this] {
+  OfRequest->LookForCancel = [this] {
     readAvailable();
     if (IsClosed)
-      Cancel->cancel();
+      cancelAll();
   };
   if (IsClosed)
-    Cancel->cancel();
-  Request.Cancel = Cancel;
+    OfRequest->cancel();
+  Request.Cancel = OfRequest;
   Request.OnWait = [this] {
-    if (!IsWatching)
+    if (Cancel && !IsWatching)
       watch();
+    if (Buffer.size() > 0 && mayReadAhead())
+      postReadAhead();
   };
-  RequestId = findHeader(Request.Message.Headers,
-                         Context->Fleet.options().Fields.RequestId);
+  IsLastRead = !Message.keep_alive();
+  return Request;
+}
+
+std::string caller_session::idOf(const http_request &Message) const {
+  return std::string(
+      findHeader(Message.Headers, Context->Fleet.options().Fields.RequestId));
+}
+
+awaitable<bool> caller_session::serveOne() {
+  const auto Incoming = std::move(Next);
+  Cancel = std::make_shared<cancel_source>();
   IsServing = true;
+  auto Request = makeRequest(*Incoming, Cancel);
+  Current = Incoming.get();
+  RequestId = idOf(Request.Message);
   const bool IsHead = Request.Message.Method == "HEAD";
-  const bool WantsKeepAlive = Message.keep_alive();
+  const bool WantsKeepAlive = !IsLastRead;
   const auto Answer = co_await Context->Path.run(std::move(Request));
-  stopWatching();
-  const bool IsGone = Cancel->isCancelled();
-  Cancel->LookForCancel = nullptr;
-  Cancel = nullptr;
-  if (IsGone)
+  Current = nullptr;
+  if (!endProgress())
     co_return false;
-  const bool KeepAlive = WantsKeepAlive && !Context->Fleet.isStopping();
+  const bool KeepAlive = mayKeep(WantsKeepAlive);
   const bool IsWritten = co_await write(Answer.Reply, KeepAlive, IsHead);
   co_return IsWritten &&KeepAlive;
 }
 
+bool caller_session::endProgress() {
+  stopWatching();
+  Cancel->LookForCancel = nullptr;
+  return !std::exchange(Cancel, nullptr)->isCancelled();
+}
+
+// What runs behind is answered before the connection closes.
+bool caller_session::mayKeep(bool WantsKeepAlive) const {
+  return WantsKeepAlive && (!Context->Fleet.isStopping() || !Ahead.empty());
+}
+
 awaitable<bool> caller_session::write(const http_reply &Reply, bool KeepAlive,
                                       bool IsHead) {
   std::string Head =
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 #define SESAMEPADDLE_SRC_INGRESS_CALLER_SESSION_H
 
+#include "ingress/ahead_request.h"
 #include "ingress/loop_monitor.h"
 #include "ingress/request_path.h"
 #include "ingress/unfinished_answers.h"
@@ -14,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <deque>
 #include <memory>
 
 namespace sesamepaddle {
@@ -27,12 +29,19 @@
   std::shared_ptr<body_memory> Bodies; ///< of requests
   std::size_t Open = 0;                ///< sessions that exist
   unfinished_answers Unfinished{};
+  ahead_counts Ahead{};
   component_log Log{"caller"};
   bool IsClosingIdle = false; ///< the VM is draining: closes idle connections
 };
 
-/** One connection of a caller: serves its requests one after the other, and
-    cancels the current one as soon as the caller disconnects. */
+/** One connection of a caller: serves its requests and answers them in order,
+    and cancels them as soon as the caller disconnects.
+
+    A request that may be repeated starts while earlier ones run, within
+    ahead_limits. Any other one waits until all before it are answered, and
+    those behind it wait for its answer. An answer closes the connection
+    only when no request behind it has started, so that none is passed on to an
+    endpoint and dropped. */
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
   using parser =
@@ -76,6 +85,11 @@
     body_memory::holding Held; ///< memory of the body
     time_point Arrival{};      ///< estimate, of the first byte
     bool IsHeaderChecked = false;
+    bool IsBodyAwaited = false; ///< readRequest() waits for the body
+    /** Why it must be refused in its turn, or Whole. */
+    read_end End = read_end::Whole;
+    /** It does not run ahead: it is read on when all before are answered. */
+    bool MustWait = false;
   };
 
   /** How a caller takes the current answer. */
@@ -90,12 +104,39 @@
   awaitable<bool> receive(time_point Until);
   /** Appends the bytes that have arrived to the buffer, without waiting. */
   void readAvailable();
-  /** Watches for the caller's disconnect while a request is in progress. */
+  /** Watches for the caller's disconnect, and for requests that it sends ahead,
+      while a request is in progress. */
   void watch();
   void stopWatching();
-
-  /** Reads one request into @p Incoming. */
-  awaitable<read_end> readRequest(incoming &Incoming);
+  /** Cancels all requests of the connection. */
+  void cancelAll();
+
+  /** Starts the requests that have arrived and may run ahead. */
+  void readAhead();
+  /** Calls readAhead() from the event loop. */
+  void postReadAhead();
+  bool mayReadAhead() const;
+  /** @returns true while no limit keeps requests from running ahead. */
+  bool hasRoomAhead() const;
+  /** @returns hasRoomAhead(), and counts when it becomes false. */
+  bool takeRoomAhead();
+  /** Parses Next from the buffer. @returns true when it is complete and may run
+      ahead */
+  bool parseAhead();
+  /** @returns true when a configuration allows to repeat the request. */
+  bool mayRepeat(const incoming &Incoming) const;
+  /** Starts Next. */
+  void startAhead();
+  awaitable<void> runAhead(std::shared_ptr<ahead_request> Request);
+  /** Waits for the first request of Ahead and answers it.
+      @returns true when the connection may be kept */
+  awaitable<bool> answerAhead();
+
+  /** Begins to read a request into Next. */
+  void beginRequest();
+  /** Reads Next. @returns why there is none, or why it must be refused, or
+      Whole */
+  awaitable<read_end> readRequest();
   /** @returns Whole when a request has begun, else Closed or Idle. */
   awaitable<read_end> waitForFirstByte();
   /** Drops empty lines in front of a request. */
@@ -103,8 +144,21 @@
   /** Parses what is in the buffer. @returns why the request must be refused, or
       Whole, also when more bytes are needed */
   read_end parseBuffer(incoming &Incoming, bool &HasProgress);
-  /** Answers one request. @returns true when the connection may be kept */
-  awaitable<bool> serveOne(incoming &Incoming);
+  /** Does parseBuffer(), and checks the header when it is complete. */
+  read_end parseAndCheck(incoming &Incoming, bool &HasProgress);
+  /** @returns the request that was read, to be passed on. */
+  ingress_request makeRequest(incoming &Incoming,
+                              const std::shared_ptr<cancel_source> &Cancel);
+  /** @returns the id in the header of @p Message. */
+  std::string idOf(const http_request &Message) const;
+  /** Answers Next. @returns true when the connection may be kept */
+  awaitable<bool> serveOne();
+  /** Ends the time in which the first request is in progress.
+      @returns false when the caller has left */
+  bool endProgress();
+  /** @returns true when the connection is kept after the answer to a request
+      that is the last one that was read. */
+  bool mayKeep(bool WantsKeepAlive) const;
   /** Sends the rest of an answer. @returns why it ended early, if it did */
   awaitable<boost::system::error_code>
   writeRest(std::array<boost::asio::const_buffer, 2> Buffers);
@@ -141,7 +195,11 @@
   std::shared_ptr<session_context> Context;
   std::array<char, HeadBytes> ReadSpace{}; ///< target of receive()
   boost::beast::flat_buffer Buffer;
-  std::shared_ptr<cancel_source> Cancel; ///< of the current request
+  /** Of the first request without an answer, while it is in progress. */
+  std::shared_ptr<cancel_source> Cancel;
+  std::unique_ptr<incoming> Next;    ///< being read; null: none has begun
+  const incoming *Current = nullptr; ///< that serveOne() answers, or null
+  std::deque<std::shared_ptr<ahead_request>> Ahead; ///< behind the first
   time_point OpenedAt = boot_clock::now();
   std::string RequestId; ///< of the latest request that was read
   std::size_t Unwritten =
@@ -150,8 +208,11 @@
   deadline_queue::registration StallTimer; ///< of checkProgress()
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
-  bool IsIdle = false; ///< waits for the first byte of a request
-  bool IsNew = true;   ///< no request has begun yet
+  bool IsReadAheadPosted = false;
+  bool IsAheadPaused = false; ///< the latest takeRoomAhead() was false
+  bool IsLastRead = false;    ///< the caller wants no request after the latest
+  bool IsIdle = false;        ///< waits for the first byte of a request
+  bool IsNew = true;          ///< no request has begun yet
   bool IsClosed = false;
   bool IsSendClosed = false; ///< the VM sends no more
   bool IsReset = false;      ///< the caller reset the connection
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -214,7 +214,7 @@
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
         "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
         attemptMetricsText(), Sessions->Unfinished.prometheusText(),
-        Fleet.loadReports().prometheusText());
+        Fleet.loadReports().prometheusText(), Sessions->Ahead.prometheusText());
   }
 
   std::string attemptMetricsText() {
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -199,6 +199,15 @@
   return refuse(State, 503, "rows-outdated", ShortRetrySeconds);
 }
 
+// Before each sending: it was started by a configuration that allowed it.
+std::optional<http_reply> request_path::refuseIfBehind(request_state &State) {
+  if (State.Route->Kind == request_kind::Idempotent ||
+      !State.Request.IsBehind || !State.Request.IsBehind())
+    return std::nullopt;
+  absl::StrAppend(&State.Reason, "+behind-others");
+  return refuse(State, 503, "behind-others", ShortRetrySeconds);
+}
+
 std::optional<http_reply> request_path::refuseIfStopping(request_state &State) {
   const auto *Stop = Fleet.stop();
   if (Stop == nullptr ||
@@ -618,6 +627,9 @@
     if (auto Stopping = refuseIfStopping(State))
       co_return State.MayHaveRun ? unknownOutcomeReply(State)
                                  : std::move(*Stopping);
+    if (auto Behind = refuseIfBehind(State))
+      co_return State.MayHaveRun ? unknownOutcomeReply(State)
+                                 : std::move(*Behind);
     const auto &Services = State.Route->Services;
     const bool IsServiceCurrent = std::any_of(
         Services.begin(), Services.end(), [&](const weighted_service &Part) {
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -25,6 +25,10 @@
   std::shared_ptr<cancel_source> Cancel;
   /** Called before the request waits for another VM or an endpoint. */
   std::function<void()> OnWait;
+  /** @returns true while the answers to earlier requests of the same connection
+      are not written: then only a request that may be repeated is sent. Null:
+      never. */
+  std::function<bool()> IsBehind{};
 };
 
 /** The answer for a caller. */
@@ -90,6 +94,9 @@
   /** Refuses a request while this VM's rows of the store are too old to decide
       it. @returns the refusal, or nothing */
   std::optional<http_reply> refuseIfOutdated(request_state &State);
+  /** Refuses a request that may not run before earlier ones of its connection
+      are answered. @returns the refusal, or nothing */
+  std::optional<http_reply> refuseIfBehind(request_state &State);
   /** Refuses a request that may not end before this VM does.
       @returns the refusal, or nothing */
   std::optional<http_reply> refuseIfStopping(request_state &State);
--- a/tests/adapter/platform_settings_test.cpp
+++ b/tests/adapter/platform_settings_test.cpp
@@ -238,6 +238,24 @@
   }
 }
 
+TEST_CASE("limits of requests sent ahead have defaults and are checked") {
+  std::string Errors;
+  const auto Text = settingsFor(Small);
+  const auto Default = parse(Text, Errors);
+  REQUIRE(Default.has_value());
+  CHECK(Default->Ingress.Ahead.ConnectionRequests == 32);
+  CHECK(Default->Ingress.Ahead.VmRequests == 1'024);
+  const auto Set = parse(Text + "requests_ahead:\n  connection_requests: 0\n"
+                                "  vm_bytes: 1000\n",
+                         Errors);
+  REQUIRE(Set.has_value());
+  CHECK(Set->Ingress.Ahead.ConnectionRequests == 0);
+  CHECK(Set->Ingress.Ahead.VmBytes == 1'000);
+  CHECK(errorsIn(Text + "requests_ahead:\n  vm_requests: -1\n")
+            .find("'requests_ahead.vm_requests' can't be '-1'") !=
+        std::string::npos);
+}
+
 TEST_CASE("terms that are incomplete or wrong are refused with their line") {
   SUBCASE("a term of a contract in force is missing") {
     for (const auto &[Contract, Key] :
--- a/tests/ingress/absent_terms_test.cpp
+++ b/tests/ingress/absent_terms_test.cpp
@@ -63,8 +63,9 @@
     Bounds.Attempts = unlimitedAttempts();
     auto Fleet = makeFleet(Bounds);
     for (int Retry = 0; Retry < 1'000; ++Retry)
-      CHECK(Fleet.attempts().takeRetry(Orders, Fleet.options().Bounds.Attempts,
-                                       100, Start));
+      CHECK(Fleet.attempts()
+                .takeRetry(Orders, Fleet.options().Bounds.Attempts, 100, Start)
+                .IsAllowed);
   }
 
   SUBCASE("rows of the store are never too old") {
--- a/tests/ingress/caller_session_test.cpp
+++ b/tests/ingress/caller_session_test.cpp
@@ -32,14 +32,16 @@
   raw_connection Caller{Acceptor.local_endpoint()};
   fleet_state Fleet{makeOptions()};
   deadline_queue Deadlines{Context.get_executor()};
-  upstream_pool Upstreams{"Id", Deadlines};
+  std::shared_ptr<body_memory> Bodies =
+      std::make_shared<body_memory>(1'000'000);
+  upstream_pool Upstreams{"Id", Deadlines, Bodies};
   metrics Metrics;
   decision_log Log{"test"};
   request_path Path{Fleet, Upstreams, Metrics, Log};
-  std::shared_ptr<session_context> Shared = std::make_shared<session_context>(
-      session_context{Fleet, Path, Deadlines,
-                      std::make_shared<loop_monitor>(Context, Fleet.overload()),
-                      body_memory(1'000'000)});
+  std::shared_ptr<session_context> Shared =
+      std::make_shared<session_context>(session_context{
+          Fleet, Path, Deadlines,
+          std::make_shared<loop_monitor>(Context, Fleet.overload()), Bodies});
   std::shared_ptr<caller_session> Session = accept();
 };
 
--- a/tests/ingress/scripted_endpoint.cpp
+++ b/tests/ingress/scripted_endpoint.cpp
@@ -13,6 +13,8 @@
 
 // Time between scripted_answer::Bytes and LateBytes.
 constexpr std::chrono::milliseconds LateBytesDelay{30};
+// Time between two checks of scripted_answer::IsDue.
+constexpr std::chrono::milliseconds DueCheckInterval{2};
 // Time between scripted_answer::Bytes and a reset after them.
 constexpr std::chrono::milliseconds ResetDelay{5};
 
@@ -84,11 +86,16 @@
       Acceptor.close(Error);
     if (Answer.Delay.count() > 0)
       co_await pause(Answer.Delay);
-    char Byte = 0;
     Socket->non_blocking(true);
-    const std::size_t Peeked = Socket->receive(
-        asio::buffer(&Byte, 1), asio::socket_base::message_peek, Error);
-    if (Peeked == 0 && Error != asio::error::would_block) {
+    const auto IsClosedByVm = [&] {
+      char Byte = 0;
+      const std::size_t Peeked = Socket->receive(
+          asio::buffer(&Byte, 1), asio::socket_base::message_peek, Error);
+      return Peeked == 0 && Error != asio::error::would_block;
+    };
+    while (Answer.IsDue && !Answer.IsDue() && !IsClosedByVm())
+      co_await pause(DueCheckInterval);
+    if (IsClosedByVm()) {
       ++Abandoned;
       co_return;
     }
