--- a/tests/ingress/ingress_fixture.cpp
+++ b/tests/ingress/ingress_fixture.cpp
@@ -4,9 +4,7 @@
 
 namespace sesamepaddle {
 
-namespace {
-
-ingress_options makeOptions() {
+ingress_options makeFixtureOptions() {
   ingress_options Options;
   auto &Vm = Options.Vm;
   Vm.Name = vm_name("vm-1");
@@ -24,7 +22,7 @@
   return Options;
 }
 
-configuration_pointer makeConfiguration() {
+configuration_pointer makeFixtureConfiguration() {
   configuration_content Content;
   Content.Version = 1;
   fleet_route Checks;
@@ -52,7 +50,16 @@
   return std::make_shared<fleet_configuration>(std::move(Content));
 }
 
-} // namespace
+endpoint_record makeFixtureRecord(std::size_t Index, std::string Address) {
+  endpoint_record Record;
+  Record.Id = endpoint_id("i-" + std::to_string(Index));
+  Record.Address = std::move(Address);
+  Record.Service = service_name("orders");
+  Record.Region = region_name("lima");
+  Record.FailureDomain = failure_domain_name("lima-a");
+  Record.Slots = 4;
+  return Record;
+}
 
 ingress_fixture::ingress_fixture(
     std::vector<scripted_endpoint::script> Scripts,
@@ -61,22 +68,17 @@
   for (auto &Script : Scripts)
     Endpoints.push_back(
         std::make_unique<scripted_endpoint>(Context, std::move(Script)));
-  auto Options = makeOptions();
+  auto Options = makeFixtureOptions();
   if (Adjust)
     Adjust(Options);
   auto Started = ingress_node::start(*Pool, std::move(Options));
   REQUIRE(Started.ok());
   Node = std::move(*Started);
-  Node->fleet().setConfiguration(makeConfiguration());
+  Node->fleet().setConfiguration(makeFixtureConfiguration());
   for (std::size_t Index = 0; Index < Endpoints.size(); ++Index) {
-    endpoint_record Record;
-    Record.Id = endpoint_id("i-" + std::to_string(Index));
-    Record.Address = Endpoints[Index]->address();
-    Record.Service = service_name("orders");
-    Record.Region = region_name("lima");
-    Record.FailureDomain = failure_domain_name("lima-a");
-    Record.Slots = 4;
-    Node->fleet().endpoints().apply(Record, boot_clock::now());
+    Node->fleet().endpoints().apply(
+        makeFixtureRecord(Index, Endpoints[Index]->address()),
+        boot_clock::now());
   }
   Thread = std::thread([this] { Context.run(); });
 }
--- a/tests/ingress/ingress_fixture.h
+++ b/tests/ingress/ingress_fixture.h
@@ -14,6 +14,11 @@
 
 namespace sesamepaddle {
 
+/** Options, configuration and endpoints of a VM in the tests. */
+ingress_options makeFixtureOptions();
+configuration_pointer makeFixtureConfiguration();
+endpoint_record makeFixtureRecord(std::size_t Index, std::string Address);
+
 /** Runs one VM with scripted endpoints on a thread of its own. */
 class ingress_fixture {
 public:
