The servers of readiness, directory, peers and metrics bound their connections

What a crowd could do: 100 half-sent bodies of 1 MB at the readiness address took a VM of 48 MiB to 111 to 118 MB; 300 silent connections there took all of its 256 descriptors, and neither orders nor readiness were answered within 20 s.

Cause: these servers allowed 1 MiB of body for each connection, for requests that have none, and any number of connections, silent ones for 60 s.

Now each takes 1/32 of the descriptors and bodies up to 64 KiB. For a further connection the one whose request has been awaited for longest is closed and counted. With 4,100 descriptors that is 128 connections and 8 MiB of bodies for each server.

The whole of test_ingress was not run yet on this commit.

--- a/include/sesamepaddle/net/http_server.h
+++ b/include/sesamepaddle/net/http_server.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -22,6 +23,9 @@
   std::chrono::milliseconds HeaderTimeout{10'000}; ///< from the first byte
   std::chrono::milliseconds BodyTimeout{30'000};   ///< from the header's end
   std::chrono::milliseconds IdleTimeout{60'000};   ///< until the first byte
+  /** Open connections. For a further one, that is closed whose request has been
+      awaited for longest. */
+  std::size_t Connections = std::numeric_limits<std::size_t>::max();
 };
 
 /** A received request and the address of its caller. */
@@ -70,6 +74,9 @@
   /** @returns the number of requests whose reply is not yet written. */
   std::size_t requestsInFlight() const;
 
+  /** @returns the number of connections that were closed for others. */
+  std::size_t connectionsGivenUp() const;
+
   /** @returns the number of open connections. */
   std::size_t openConnections() const;
 
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -49,6 +49,12 @@
 // Fraction of a VM's descriptors that callers' connections may take. Each of
 // them may need one to an endpoint as well.
 constexpr double CallerDescriptorFraction = 0.5;
+// Fraction that the connections of each of the servers of readiness, directory,
+// other VMs and metrics may take: an eighth for the four.
+constexpr double ServerDescriptorFraction = 1.0 / 32;
+// Bound on the body of a request to one of these servers. They answer requests
+// that have none.
+constexpr std::size_t MaxServerBodyBytes = 64U * 1024;
 // Pause of accepting while no connection can be taken.
 constexpr milliseconds AcceptPause{20};
 
@@ -61,6 +67,14 @@
   return static_cast<std::size_t>(static_cast<double>(Bytes) * Fraction);
 }
 
+http_server_limits makeServerLimits(const fleet_bounds &Bounds) {
+  http_server_limits Limits;
+  Limits.BodyBytes = MaxServerBodyBytes;
+  Limits.Connections = std::max<std::size_t>(
+      1, fractionOf(Bounds.Descriptors, ServerDescriptorFraction));
+  return Limits;
+}
+
 std::shared_ptr<body_memory> makeRequestMemory(const fleet_bounds &Bounds) {
   return std::make_shared<body_memory>(
       fractionOf(Bounds.MemoryBytes, BodyMemoryFraction));
@@ -176,7 +190,8 @@
         Pool, Address,
         [this](const http_exchange &Exchange) -> awaitable<http_reply> {
           co_return co_await answer(Exchange.Request);
-        });
+        },
+        makeServerLimits(Fleet.options().Bounds));
     if (!Server.ok())
       return Server.status();
     Servers.push_back(std::move(*Server));
@@ -230,8 +245,10 @@
         Fleet.rows().age(boot_clock::now()).count(),
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
-        "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(), "\n",
-        attemptMetricsText(), Sessions->Unfinished.prometheusText());
+        "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(),
+        "\nsesamepaddle_server_connections_given_up ",
+        countServerConnectionsGivenUp(), "\n", attemptMetricsText(),
+        Sessions->Unfinished.prometheusText());
   }
 
   std::string attemptMetricsText() {
@@ -380,6 +397,13 @@
     return Count;
   }
 
+  std::size_t countServerConnectionsGivenUp() const {
+    std::size_t Count = 0;
+    for (const auto &Server : Servers)
+      Count += Server->connectionsGivenUp();
+    return Count;
+  }
+
   /** @returns true when all connections have ended, and with them all requests
       and answers. */
   bool isQuiet() const {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "sesamepaddle/net/http_server.h"
 
+#include "sesamepaddle/core/clock.h"
 #include "sesamepaddle/core/text.h"
 #include "sesamepaddle/net/failures.h"
 
@@ -182,6 +183,7 @@
   tcp::endpoint Local;
   std::atomic<bool> Draining{false};
   std::atomic<std::size_t> InFlight{0};
+  std::atomic<std::size_t> GivenUp{0};
 
   std::size_t countConnections() {
     const std::lock_guard Lock(ConnectionsMutex);
@@ -194,7 +196,11 @@
     beast::tcp_stream Stream;
     beast::flat_buffer Buffer{MaxUnparsedBytes};
     tcp::endpoint Caller;
-    bool Busy = false; // used only by the connection's worker
+    bool Busy = false;        // used only by the connection's worker
+    bool IsAnswering = false; // the same
+    std::atomic<duration::rep> AwaitedSince{
+        boot_clock::now().time_since_epoch().count()};
+    std::atomic<bool> IsGivenUp{false};
   };
   using connection_pointer = std::shared_ptr<connection>;
 
@@ -226,6 +232,8 @@
     Connection->Caller = Connection->Stream.socket().remote_endpoint(Ignored);
     {
       const std::lock_guard Lock(ConnectionsMutex);
+      if (Connections.size() >= Limits.Connections)
+        giveUpOne();
       Connections.emplace(Connection.get(), Connection);
     }
     asio::co_spawn(
@@ -236,6 +244,26 @@
         });
   }
 
+  // Closes a connection without a whole request, if there is one; otherwise the
+  // number of connections exceeds its limit until some are answered.
+  void giveUpOne() {
+    std::shared_ptr<connection> Longest;
+    for (const auto &[Address, Entry] : Connections) {
+      auto Candidate = Entry.lock();
+      if (Candidate && !Candidate->IsGivenUp &&
+          (!Longest || Candidate->AwaitedSince < Longest->AwaitedSince))
+        Longest = std::move(Candidate);
+    }
+    if (!Longest)
+      return;
+    Longest->IsGivenUp = true;
+    GivenUp.fetch_add(1);
+    asio::post(Longest->Stream.get_executor(), [Longest] {
+      if (!Longest->IsAnswering)
+        Longest->Stream.close();
+    });
+  }
+
   static awaitable<void> serve(std::shared_ptr<implementation> Self,
                                connection_pointer Connection) {
     bool KeepAlive = true;
@@ -281,12 +309,16 @@
     const http_request Request = fromBeast(Parser.release());
     Connection.Stream.expires_never();
     Self.InFlight.fetch_add(1);
+    Connection.IsAnswering = true;
     http_reply Reply =
         co_await Self.Handler(http_exchange{Request, Connection.Caller});
-    const bool KeepAlive = WantsKeepAlive && !Self.Draining.load();
+    const bool KeepAlive =
+        WantsKeepAlive && !Self.Draining.load() && !Connection.IsGivenUp.load();
     const bool Written = co_await write(
         Connection, toBeast(std::move(Reply), Version, KeepAlive));
     Self.InFlight.fetch_sub(1);
+    Connection.IsAnswering = false;
+    Connection.AwaitedSince = boot_clock::now().time_since_epoch().count();
     co_return Written &&KeepAlive;
   }
 
@@ -396,6 +428,10 @@
   return Implementation->InFlight.load();
 }
 
+std::size_t http_server::connectionsGivenUp() const {
+  return Implementation->GivenUp.load();
+}
+
 std::size_t http_server::openConnections() const {
   return Implementation->countConnections();
 }
