Tests: a crowd's memory is bounded where the allocator gives memory back

A sanitizer keeps freed memory and adds its own, so that the peak says nothing of what a VM uses, as in the tests of endless answers. The release build checks the bound as before; that the VM lives, its descriptors and the ordinary requests are checked in both.

--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -247,12 +247,9 @@
         "\nsesamepaddle_gossip_not_forwarded ", Gossip->notForwarded(),
         "\nsesamepaddle_body_bytes_held ", RequestBodies->held(),
         "\nsesamepaddle_answer_bytes_held ", AnswerBodies->held(),
-        "
-sesamepaddle_answers_given_up ", AnswerBodies->givenUp(),
-        "
-sesamepaddle_server_connections_given_up ",
-        countServerConnectionsGivenUp(), "
-", attemptMetricsText(),
+        "\nsesamepaddle_answers_given_up ", AnswerBodies->givenUp(),
+        "\nsesamepaddle_server_connections_given_up ",
+        countServerConnectionsGivenUp(), "\n", attemptMetricsText(),
         Sessions->Unfinished.prometheusText(),
         Fleet.loadReports().prometheusText(), Sessions->Ahead.prometheusText());
   }
--- a/tests/ingress/client_crowds_test.cpp
+++ b/tests/ingress/client_crowds_test.cpp
@@ -1,5 +1,6 @@
 #include "ingress/vm_process.h"
 #include "sesamepaddle/core/clock.h"
+#include "support/process_memory.h"
 #include "support/raw_connection.h"
 
 #include <doctest/doctest.h>
@@ -97,7 +98,8 @@
   CHECK(isServed(Vm.readiness(), "GET /ready HTTP/1.1\r\nHost: shop.example\r\n"
                                  "Connection: close\r\n\r\n"));
   REQUIRE(Vm.isAlive());
-  CHECK(Vm.peakBytes() < vm_process::MemoryBytes);
+  if (IsResidentExact)
+    CHECK(Vm.peakBytes() < vm_process::MemoryBytes);
   CHECK(Vm.descriptors() < vm_process::Descriptors);
 }
 
