Even load: estimate with an age, and a choice that differs between VMs

Many VMs choose at the same moment by news that is older than the requests at the endpoints; objects fall unevenly on them and their requests cross failure domains for no reason.

load_estimate weighs an endpoint's report by its age against what VMs have under way. endpoint_choice shares an object's requests between the endpoints that know it and that the estimate cannot tell apart, by an order of each VM's own; gives an object that none knows to the one with the fewest objects of the first three in its order; makes a further one know it where its requests wait; and weighs failure domain before region before others, so that a region keeps the objects that it has room for.

Off by default (placement_options::IsEven): nothing changes for a deployment yet. Request lines say why an endpoint was chosen.

--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -59,6 +59,7 @@
   unsigned PeerInFlight = 0; ///< the same for other VMs, as last reported
   reported_load Load;
   time_point LoadReportedAt{};
+  unsigned InFlightAtReport = 0; ///< InFlight when Load was reported
 
   time_point ColdUntil{};         ///< end of its warm-up, from its record
   time_point PossiblyColdUntil{}; ///< set by markPossiblyCold()
@@ -70,6 +71,8 @@
   /** Hashes of the objects that it has served for any VM, with their last use.
       It is faster on these. Bounded; the least recently used one is dropped. */
   std::unordered_map<std::uint64_t, time_point> KnownObjects;
+  /** Objects for which this VM has sent it a first request lately. */
+  std::unordered_map<std::uint64_t, time_point> ExpectedObjects;
   bool IsReplaced = false; ///< another instance has answered at its address
   /** The endpoint itself reported that it is leaving, whatever its record says.
       @see endpoint_registry::noteLeaving */
@@ -95,6 +98,9 @@
       yet. */
   void markPossiblyCold(time_point Now);
 
+  /** Stores what the endpoint said about its load in an answer. */
+  void noteLoad(const reported_load &Reported, time_point Now);
+
   /** Ends the backoff of addFailure(), as an answer shows that the endpoint can
       be reached. */
   void addAnswer();
@@ -109,6 +115,14 @@
     return KnownObjects.contains(ObjectHash);
   }
 
+  /** Records that this VM sends the endpoint a request for an object that no
+      endpoint knows, so that the next ones go there as well. */
+  void addExpectedObject(std::uint64_t ObjectHash, time_point Now);
+
+  /** @returns true when the endpoint knows the object, or will soon: until this
+      VM's request has been answered and the others have heard of it. */
+  bool willKnow(std::uint64_t ObjectHash, time_point Now) const;
+
   /** @returns the number of requests that it runs or queues: those in flight
       from all VMs, or what it reported recently if that is more. */
   unsigned knownLoad(time_point Now) const;
--- a/include/sesamepaddle/load_balancing/placement.h
+++ b/include/sesamepaddle/load_balancing/placement.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPADDLE_LOAD_BALANCING_PLACEMENT_H
 #define SESAMEPADDLE_LOAD_BALANCING_PLACEMENT_H
 
+#include "sesamepaddle/load_balancing/endpoint_choice.h"
 #include "sesamepaddle/load_balancing/endpoint_registry.h"
 
 #include <cstddef>
@@ -22,6 +23,11 @@
 struct placement_request {
   std::uint64_t ObjectHash = 0; ///< identifies the object, the same on all VMs
   region_name CallerRegion;
+  // The rest of the place, who chooses, and a random number in [0, 1): used
+  // where placement_options::IsEven is set.
+  failure_domain_name CallerDomain;
+  std::uint64_t ChooserHash = 0; ///< of the VM's name
+  double Draw = 1;
   std::span<const region_name> RouteHomes;     ///< allowed; empty: all
   std::span<const region_name> WorkspaceHomes; ///< allowed; empty: all
   std::span<const endpoint_pointer> Excluded;  ///< already tried
@@ -36,6 +42,9 @@
   double ColdRequestsPerSecond = 0;
   std::size_t Vms = 1;    ///< number of VMs that may send to the same endpoint
   std::size_t VmRank = 0; ///< position of this VM among them, from 0
+  /** Part of the fleet's callers that the VMs of this VM's region serve; 0:
+      unknown. */
+  double CallerShare = 0;
 };
 
 /** Tuning parameters of placeRequest(). Load is in requests per slot. */
@@ -61,6 +70,9 @@
   /** How many endpoints that do not know the object are considered before the
       request goes to the one of lowest cost. */
   std::size_t MaxCandidates = 3;
+  /** Endpoints are chosen by chooseEndpoint() instead. */
+  bool IsEven = false;
+  choice_options Choice;
 };
 
 /** Whether an endpoint was chosen, or why not. */
@@ -77,6 +89,7 @@
   endpoint_pointer Endpoint; ///< null unless Placed
   /** When the first of the endpoints wants requests again, if AllQuiet. */
   time_point QuietUntil{};
+  choice_reason Reason = choice_reason::InOrder; ///< if Placed
 };
 
 /** @returns true when the request may be sent to the endpoint, whether or not
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -431,6 +431,13 @@
   Limits.EvacuatedDomains = Evacuated;
   Limits.Vms = sharingVms();
   Limits.VmRank = vmRank();
+  // VMs are spread over the regions as their callers are. Those that were never
+  // heard have no region yet.
+  const auto Heard = static_cast<double>(
+      std::count_if(Vms.begin(), Vms.end(), [](const auto &Entry) {
+        return !Entry.second.Region.empty();
+      }));
+  Limits.CallerShare = (static_cast<double>(NearVms) + 1) / (Heard + 1);
   return Limits;
 }
 
@@ -441,8 +448,13 @@
 }
 
 placed_endpoint fleet_state::place(const service_name &Service,
-                                   const placement_request &Request,
+                                   const placement_request &Wanted,
                                    time_point Now) {
+  auto Request = Wanted;
+  Request.CallerDomain = Options.Vm.FailureDomain;
+  Request.ChooserHash = stableHash(Options.Vm.Name.view());
+  if (Options.Placement.IsEven)
+    Request.Draw = draw();
   auto Limits = placementLimits();
   if (const auto *Terms =
           Configuration ? Configuration->findService(Service) : nullptr)
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -176,7 +176,8 @@
   std::string Endpoint;
   bool IsKnown = false; ///< it had answered for the object before
   unsigned Load = 0;    ///< requests that it ran or queued
-  time_point SentAt{};  ///< start of the latest attempt
+  choice_reason Choice = choice_reason::InOrder;
+  time_point SentAt{}; ///< start of the latest attempt
 };
 
 request_path::request_path(fleet_state &Fleet, upstream_pool &Upstreams,
@@ -520,8 +521,7 @@
     }
     if (const auto Load =
             parseLoad(findHeader(Result.Reply.Headers, Fields.Load))) {
-      Endpoint.Load = *Load;
-      Endpoint.LoadReportedAt = Now;
+      Endpoint.noteLoad(*Load, Now);
     }
     Endpoint.addAnswer();
     if (!State.IsLateCounted && !Endpoint.isCold(Now))
@@ -633,6 +633,7 @@
     State.Endpoint = Placed.Endpoint->Record.Id.str();
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
+    State.Choice = Placed.Reason;
     State.SentAt = Now;
     const auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
     State.LastEnd = Result.End;
@@ -760,9 +761,9 @@
         " rows_ms=", Fleet.rows().age(State.SentAt).count(),
         " service=", State.Service.str(), " workspace=", Workspace,
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
-        " load=", State.Load, " attempts=", State.SentAttempts,
-        " unreached=", State.Unreached, " tried=", State.AttemptLog,
-        " ms=", toMilliseconds(Took),
+        " load=", State.Load, " choice=", toAbsl(nameOf(State.Choice)),
+        " attempts=", State.SentAttempts, " unreached=", State.Unreached,
+        " tried=", State.AttemptLog, " ms=", toMilliseconds(Took),
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
   Log.write(MakeLine, boot_clock::now());
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -24,6 +24,9 @@
 // which is read within this time: heartbeats are sent every 1.5 s, records are
 // read every second.
 constexpr std::chrono::milliseconds ColdReportDelay{2'600};
+// Time for which an object is expected to become known: that of its first
+// request, which takes longest, and of a message to the other VMs.
+constexpr std::chrono::milliseconds ExpectedObjectLifetime{3'000};
 
 // Endpoints whose announcements are kept for when their records lapse and come
 // back: more than leave in the time that an outage of the store may last.
@@ -72,6 +75,31 @@
   return IsNew;
 }
 
+void fleet_endpoint::addExpectedObject(std::uint64_t ObjectHash,
+                                       time_point Now) {
+  if (ExpectedObjects.size() >= MaxKnownObjects)
+    std::erase_if(ExpectedObjects, [Now](const auto &Entry) {
+      return Now - Entry.second >= ExpectedObjectLifetime;
+    });
+  // One more than that is used without it.
+  if (ExpectedObjects.size() < MaxKnownObjects)
+    ExpectedObjects.insert_or_assign(ObjectHash, Now);
+}
+
+bool fleet_endpoint::willKnow(std::uint64_t ObjectHash, time_point Now) const {
+  if (knows(ObjectHash))
+    return true;
+  const auto Found = ExpectedObjects.find(ObjectHash);
+  return Found != ExpectedObjects.end() &&
+         Now - Found->second < ExpectedObjectLifetime;
+}
+
+void fleet_endpoint::noteLoad(const reported_load &Reported, time_point Now) {
+  Load = Reported;
+  LoadReportedAt = Now;
+  InFlightAtReport = InFlight;
+}
+
 unsigned fleet_endpoint::knownLoad(time_point Now) const {
   const unsigned AllInFlight = InFlight + PeerInFlight;
   if (Now - LoadReportedAt > MaxLoadAge)
--- a/src/load_balancing/placement.cpp
+++ b/src/load_balancing/placement.cpp
@@ -145,6 +145,81 @@
   return Order;
 }
 
+/** @returns the endpoints that may be used, healthy or not. */
+std::vector<endpoint_candidate>
+evenCandidates(std::span<const endpoint_pointer> Endpoints,
+               const placement_request &Request, const placement_limits &Limits,
+               const placement_options &Options, time_point Now) {
+  std::vector<endpoint_pointer> Usable;
+  Usable.reserve(Endpoints.size());
+  for (const auto &Endpoint : Endpoints)
+    if (isUsable(*Endpoint, Request, Limits) && !Endpoint->isQuiet(Now) &&
+        !isExcluded(Endpoint, Request))
+      Usable.push_back(Endpoint);
+  const auto Weights =
+      weighDistances(Usable, Request.CallerRegion, Request.CallerDomain,
+                     Limits.CallerShare, Options.Choice);
+  std::vector<endpoint_candidate> Candidates;
+  Candidates.reserve(Usable.size());
+  for (auto &Endpoint : Usable) {
+    const auto Distance = distanceOf(Endpoint->Record, Request.CallerRegion,
+                                     Request.CallerDomain);
+    const double Weight =
+        std::max(1U, Endpoint->Record.Slots) * Weights.of(Distance);
+    const double Rank =
+        rendezvousScore(Request.ObjectHash, Endpoint->Hash, Weight);
+    const bool KnowsObject = Endpoint->willKnow(Request.ObjectHash, Now);
+    Candidates.push_back({std::move(Endpoint), Distance, Rank, KnowsObject});
+  }
+  return Candidates;
+}
+
+/** Chooses by chooseEndpoint() among the healthy endpoints, else among the
+    others. A cold endpoint is used where no warm one is, or to get its first
+    objects. */
+placed_endpoint placeEvenly(std::span<const endpoint_candidate> Candidates,
+                            const placement_request &Request,
+                            const placement_limits &Limits,
+                            const choice_options &Options, time_point Now) {
+  for (const bool WantsHealthy : {true, false}) {
+    std::vector<endpoint_candidate> Warm;
+    const endpoint_candidate *Cold = nullptr; // the first in order
+    double FirstRank = 0;                     // of the warm ones
+    for (const auto &Candidate : Candidates) {
+      if (isHealthy(*Candidate.Endpoint, Now) != WantsHealthy)
+        continue;
+      if (!Candidate.Endpoint->isCold(Now)) {
+        FirstRank = std::max(FirstRank, Candidate.Rank);
+        Warm.push_back(Candidate);
+      } else if ((Cold == nullptr || Candidate.Rank > Cold->Rank) &&
+                 isColdSendDue(*Candidate.Endpoint, Limits, Now)) {
+        Cold = &Candidate;
+      }
+    }
+    const bool IsColdDue =
+        Cold != nullptr &&
+        (Warm.empty() ||
+         (Cold->Rank > FirstRank && Request.Draw < Options.FillChance &&
+          Cold->Endpoint->KnownObjects.size() < Options.MinKnownObjects));
+    if (IsColdDue) {
+      countColdSend(*Cold->Endpoint, Limits, Now);
+      return {placement_result::Placed,
+              Cold->Endpoint,
+              {},
+              Warm.empty() ? choice_reason::InOrder : choice_reason::Filled};
+    }
+    if (Warm.empty())
+      continue;
+    const auto Chosen = chooseEndpoint(
+        Warm, {Request.ObjectHash, Request.ChooserHash, Request.Draw}, Options,
+        Now);
+    if (!Chosen.Endpoint->willKnow(Request.ObjectHash, Now))
+      Chosen.Endpoint->addExpectedObject(Request.ObjectHash, Now);
+    return {placement_result::Placed, Chosen.Endpoint, {}, Chosen.Reason};
+  }
+  return {placement_result::AllFull, nullptr, {}, choice_reason::InOrder};
+}
+
 /** @returns when the first endpoint that may be used wants requests again, or
     nothing when none may be used or one wants them now, even if the request has
     been there. */
@@ -174,12 +249,22 @@
                              const placement_request &Request,
                              const placement_limits &Limits,
                              const placement_options &Options, time_point Now) {
-  const auto Order = orderCandidates(Endpoints, Request, Limits, Options, Now);
-  if (Order.empty()) {
+  const auto ReplyWithoutAny = [&]() -> placed_endpoint {
     if (const auto End = endOfQuiet(Endpoints, Request, Limits, Now))
-      return {placement_result::AllQuiet, nullptr, *End};
-    return {placement_result::NoEndpoint, nullptr, {}};
+      return {placement_result::AllQuiet, nullptr, *End,
+              choice_reason::InOrder};
+    return {placement_result::NoEndpoint, nullptr, {}, choice_reason::InOrder};
+  };
+  if (Options.IsEven) {
+    const auto Candidates =
+        evenCandidates(Endpoints, Request, Limits, Options, Now);
+    return Candidates.empty()
+               ? ReplyWithoutAny()
+               : placeEvenly(Candidates, Request, Limits, Options.Choice, Now);
   }
+  const auto Order = orderCandidates(Endpoints, Request, Limits, Options, Now);
+  if (Order.empty())
+    return ReplyWithoutAny();
   endpoint_pointer Cheapest;
   double LeastCost = std::numeric_limits<double>::max();
   std::size_t WithoutObject = 0;
@@ -194,7 +279,7 @@
         if (Cheapest || !isColdSendDue(*Endpoint, Limits, Now))
           continue;
         countColdSend(*Endpoint, Limits, Now);
-        return {placement_result::Placed, Endpoint, {}};
+        return {placement_result::Placed, Endpoint, {}, choice_reason::InOrder};
       }
       // If all are busy, the expected time to the answer decides between
       // waiting at an endpoint that knows the object and running at one that
@@ -207,7 +292,7 @@
           Load < (Candidate.KnowsObject ? Options.KnownObjectFullLoad
                                         : Options.FullLoad);
       if (IsFree && Cost < LeastCost)
-        return {placement_result::Placed, Endpoint, {}};
+        return {placement_result::Placed, Endpoint, {}, choice_reason::InOrder};
       if (Cost < LeastCost) {
         LeastCost = Cost;
         Cheapest = Endpoint;
@@ -216,9 +301,9 @@
         break;
     }
     if (Cheapest)
-      return {placement_result::Placed, Cheapest, {}};
+      return {placement_result::Placed, Cheapest, {}, choice_reason::InOrder};
   }
-  return {placement_result::AllFull, nullptr, {}};
+  return {placement_result::AllFull, nullptr, {}, choice_reason::InOrder};
 }
 
 } // namespace sesamepaddle
--- a/tests/load_balancing/even_load_test.cpp
+++ b/tests/load_balancing/even_load_test.cpp
@@ -15,8 +15,23 @@
   return load_fleet(std::move(Plan)).run();
 }
 
+/** @returns the means over three seeds. */
+load_result playSeeds(load_plan Plan, load_policy Policy) {
+  load_result Mean;
+  for (Plan.Seed = 1; Plan.Seed <= 3; ++Plan.Seed) {
+    const auto Result = play(Plan, Policy);
+    Mean.InTime += Result.InTime / 3;
+    Mean.WorstDomain += Result.WorstDomain / 3;
+    Mean.TurnedAway += Result.TurnedAway / 3;
+    Mean.WaitedInVain += Result.WaitedInVain / 3;
+    Mean.BusiestOverMean += Result.BusiestOverMean / 3;
+  }
+  return Mean;
+}
+
 const std::vector<std::pair<std::string, load_policy>> Policies = {
     {"placement", load_policy::Placement},
+    {"placement by thresholds", load_policy::FormerPlacement},
     {"least loaded", load_policy::LeastLoaded},
     {"perfect view", load_policy::PerfectView},
     {"rendezvous", load_policy::RendezvousOnly}};
@@ -131,3 +146,113 @@
     CHECK(play(Plan, load_policy::RendezvousOnly).Unreached > 0);
   }
 }
+
+// Callers wait at some endpoints while others are idle: the VMs see the same
+// old news and choose the same endpoint, or objects fall unevenly.
+TEST_CASE("many VMs that act on old news load the endpoints evenly") {
+  constexpr double Duration = 9;
+  const auto Compare = [](const load_plan &Plan) {
+    const auto Placed = playSeeds(Plan, load_policy::Placement);
+    const auto LeastLoaded = playSeeds(Plan, load_policy::LeastLoaded);
+    const auto InOrder = playSeeds(Plan, load_policy::RendezvousOnly);
+    INFO("placement: " << Placed.toString());
+    INFO("least loaded: " << LeastLoaded.toString());
+    INFO("rendezvous: " << InOrder.toString());
+    // Even with the freshest news, no worse than the least loaded endpoint.
+    CHECK(Placed.InTime >= LeastLoaded.InTime - 0.01);
+    CHECK(Placed.InTime > InOrder.InTime);
+    CHECK(Placed.WorstDomain > InOrder.WorstDomain);
+    CHECK(Placed.WaitedInVain < InOrder.WaitedInVain);
+    CHECK(Placed.BusiestOverMean < InOrder.BusiestOverMean);
+    return Placed;
+  };
+  auto Plan = unevenFleet();
+  Plan.WarmUp = 4;
+  Plan.Duration = Duration;
+
+  SUBCASE("8 VMs with news of 0.5 s") { Compare(smallFleet()); }
+  SUBCASE("90 VMs with news of 0.1 s") {
+    Plan.NearNews = Plan.FarNews = 0.1;
+    Compare(Plan);
+  }
+  SUBCASE("90 VMs with news of 1 s and 4 s") {
+    const auto Placed = Compare(Plan);
+    const auto LeastLoaded = playSeeds(Plan, load_policy::LeastLoaded);
+    CHECK(Placed.InTime > LeastLoaded.InTime + 0.03);
+    CHECK(Placed.WaitedInVain < LeastLoaded.WaitedInVain);
+  }
+  SUBCASE("90 VMs with news of 2 s") {
+    Plan.NearNews = Plan.FarNews = 2;
+    Compare(Plan);
+  }
+  SUBCASE("300 VMs with news of 2 s and 4 s") {
+    Plan = largeFleet();
+    Plan.Duration = Duration;
+    Compare(Plan);
+  }
+  SUBCASE("a hot object") {
+    Plan.HotShare = 0.1;
+    const auto Placed = Compare(Plan);
+    // No endpoint holds more than its queue for it, and callers of the rest do
+    // not notice.
+    CHECK(Placed.TurnedAway < 0.01);
+  }
+  SUBCASE("all endpoints from nothing") {
+    Plan.WarmUp = 0;
+    Plan.Duration = 4;
+    Compare(Plan);
+  }
+}
+
+// Each request that crosses costs the deployment bytes and its caller time.
+TEST_CASE("few requests leave their failure domain while it has room") {
+  auto Plan = unevenFleet();
+  Plan.EndpointsByDomain = {40, 40, 40, 40, 40, 40};
+  const auto Result = play(Plan, load_policy::Placement);
+  INFO(Result.toString());
+  CHECK(Result.OtherDomain < 0.1);
+  CHECK(Result.OtherRegion < 0.1);
+}
+
+// A region that is short of room sends objects out and takes them back too
+// quickly, against the bound on the change from one window of 2 s to the next.
+TEST_CASE("regions whose peaks wander shift their requests slowly") {
+  constexpr double MaxShift = 0.15;
+  for (const std::uint64_t Seed : {1U, 2U, 3U}) {
+    auto Plan = unevenFleet();
+    Plan.Seed = Seed;
+    Plan.Duration = 40;
+    const auto Result = play(Plan, load_policy::Placement);
+    INFO(Result.toString());
+    CHECK(Result.MaxShift < MaxShift);
+  }
+}
+
+TEST_CASE("even load while news fails") {
+  auto Plan = unevenFleet();
+  const auto Usual = play(Plan, load_policy::Placement);
+
+  SUBCASE("half of the news is lost") {
+    Plan.LostNews = 0.5;
+    CHECK(play(Plan, load_policy::Placement).InTime > Usual.InTime - 0.02);
+  }
+  SUBCASE("two VMs of each domain hear and say nothing for a while") {
+    Plan.PausedVms = 2;
+    Plan.PauseFrom = 6;
+    Plan.PauseUntil = 14;
+    CHECK(play(Plan, load_policy::Placement).InTime > Usual.InTime - 0.02);
+  }
+  SUBCASE("a region is cut off, each side uses what it reaches") {
+    Plan.CutFrom = 6;
+    Plan.CutUntil = 12;
+    const auto Cut = play(Plan, load_policy::Placement);
+    CHECK(Cut.InTime > play(Plan, load_policy::RendezvousOnly).InTime);
+
+    SUBCASE("and all is as before when the cut has ended") {
+      Plan.WarmUp = 14;
+      const auto After = play(Plan, load_policy::Placement);
+      Plan.CutFrom = Plan.CutUntil = 0;
+      CHECK(After.InTime > play(Plan, load_policy::Placement).InTime - 0.02);
+    }
+  }
+}
--- a/tests/load_balancing/load_fleet.cpp
+++ b/tests/load_balancing/load_fleet.cpp
@@ -249,12 +249,20 @@
   Request.CallerRegion =
       region_name("region-" + std::to_string(regionOf(View.Domain)));
   Request.Excluded = Excluded;
-  if (Plan.Policy == load_policy::Placement) {
+  Request.CallerDomain =
+      failure_domain_name("domain-" + std::to_string(View.Domain));
+  Request.ChooserHash = stableHash("vm-" + std::to_string(View.Rank));
+  if (Plan.Policy == load_policy::Placement ||
+      Plan.Policy == load_policy::FormerPlacement) {
+    Request.Draw = random();
     placement_limits Limits;
     Limits.Vms = Vms.size();
     Limits.VmRank = View.Rank;
+    Limits.CallerShare = 1 / std::ceil(static_cast<double>(VmsOf.size()) / 2);
+    placement_options Options = Plan.Options;
+    Options.IsEven = Plan.Policy == load_policy::Placement;
     const auto Placed = placeRequest(View.Registry.of(service_name("orders")),
-                                     Request, Limits, {}, now());
+                                     Request, Limits, Options, now());
     const auto Found = std::find(View.Endpoints.begin(), View.Endpoints.end(),
                                  Placed.Endpoint);
     return static_cast<std::size_t>(Found - View.Endpoints.begin());
@@ -285,8 +293,10 @@
                   2 * delay(View.Domain, Endpoint.Domain);
     if (Plan.Policy == load_policy::RendezvousOnly)
       Cost = 0;
+    if (Cost > BestCost)
+      continue;
     const double Score = rendezvousScore(Request.ObjectHash, Seen.Hash, 1);
-    if (Cost < BestCost || (Cost == BestCost && Score > BestScore)) {
+    if (Cost < BestCost || Score > BestScore) {
       BestCost = Cost;
       BestScore = Score;
       Best = Index;
@@ -366,8 +376,7 @@
   auto &Seen = *View.Endpoints[Request.Endpoint];
   --Seen.InFlight;
   if (Plan.AreFiguresSent) {
-    Seen.Load = Load;
-    Seen.LoadReportedAt = now();
+    Seen.noteLoad(Load, now());
   }
   Seen.addAnswer();
   if (HasRun) {
--- a/tests/load_balancing/load_fleet.h
+++ b/tests/load_balancing/load_fleet.h
@@ -18,10 +18,11 @@
 
 /** How the VMs of a load_fleet choose endpoints. */
 enum class load_policy : std::uint8_t {
-  Placement,     ///< placeRequest()
-  LeastLoaded,   ///< the shortest expected time by the VM's own news
-  PerfectView,   ///< the shortest expected time by the endpoints' true state
-  RendezvousOnly ///< the first in rendezvous order, whatever its load
+  Placement,       ///< placeRequest(), for even load
+  FormerPlacement, ///< the same, by load thresholds
+  LeastLoaded,     ///< the shortest expected time by the VM's own news
+  PerfectView,     ///< the shortest expected time by the endpoints' true state
+  RendezvousOnly   ///< the first in rendezvous order, whatever its load
 };
 
 /** A fleet, its service and its load. Times are in seconds. */
@@ -61,6 +62,7 @@
   bool AreFiguresSent = true; ///< the endpoints tell their load and pace
   std::uint64_t Seed = 1;
   load_policy Policy = load_policy::Placement;
+  placement_options Options; ///< of the two that use placeRequest()
 };
 
 /** What the callers of a load_fleet saw after its warm-up. */
