--- a/tests/load_balancing/endpoint_choice_test.cpp
+++ b/tests/load_balancing/endpoint_choice_test.cpp
@@ -32,6 +32,14 @@
   return Endpoint;
 }
 
+reported_load makeLoad(unsigned Running, unsigned Waiting) {
+  reported_load Load;
+  Load.Running = Running;
+  Load.Waiting = Waiting;
+  Load.Slots = 3;
+  return Load;
+}
+
 /** Some endpoints of one failure domain, in the order in which they rank. */
 struct candidates {
   explicit candidates(int Count, int Knowing = 0) {
@@ -63,7 +71,7 @@
 TEST_CASE("an estimate of load trusts old reports less") {
   const auto Endpoint = makeEndpoint(0);
   Endpoint->PeerInFlight = 1;
-  Endpoint->noteLoad({3, 6, 3}, Start);
+  Endpoint->noteLoad(makeLoad(3, 6), Start);
   const auto Fresh = estimateLoad(*Endpoint, Start);
   CHECK(Fresh.Requests == doctest::Approx(9));
   CHECK(Fresh.Deviation == doctest::Approx(0));
@@ -84,13 +92,13 @@
   SUBCASE("what this VM sent and got back since is counted") {
     Endpoint->InFlight = 2;
     CHECK(estimateLoad(*Endpoint, Start).Requests == doctest::Approx(11));
-    Endpoint->noteLoad({3, 8, 3}, Start);
+    Endpoint->noteLoad(makeLoad(3, 8), Start);
     Endpoint->InFlight = 0;
     CHECK(estimateLoad(*Endpoint, Start).Requests == doctest::Approx(9));
   }
   SUBCASE("it is never below what this VM has under way") {
     Endpoint->InFlight = 4;
-    Endpoint->noteLoad({0, 0, 3}, Start);
+    Endpoint->noteLoad(makeLoad(0, 0), Start);
     CHECK(estimateLoad(*Endpoint, Start).Requests >= 4);
   }
   SUBCASE("a VM that was paused has forgotten the report") {
@@ -126,9 +134,9 @@
     CHECK_FALSE(Chosen.contains(Candidates.All[0].Endpoint));
   }
   SUBCASE("a fresh report of a queue is certain enough") {
-    Candidates.at(0).noteLoad({3, 3, 3}, Start);
-    Candidates.at(1).noteLoad({1, 0, 3}, Start);
-    Candidates.at(2).noteLoad({1, 0, 3}, Start);
+    Candidates.at(0).noteLoad(makeLoad(3, 3), Start);
+    Candidates.at(1).noteLoad(makeLoad(1, 0), Start);
+    Candidates.at(2).noteLoad(makeLoad(1, 0), Start);
     auto Chosen = Candidates.chooseByVms();
     CHECK_FALSE(Chosen.contains(Candidates.All[0].Endpoint));
   }
