--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -6,6 +6,7 @@
 #include "sesamepaddle/admission/workspace_quota.h"
 #include "sesamepaddle/ingress/ingress_options.h"
 #include "sesamepaddle/ingress/stop_schedule.h"
+#include "sesamepaddle/load_balancing/choice_counts.h"
 #include "sesamepaddle/load_balancing/endpoint_registry.h"
 #include "sesamepaddle/load_balancing/placement.h"
 #include "sesamepaddle/moves/fleet_rollout.h"
@@ -180,6 +181,12 @@
   placed_endpoint place(const service_name &Service,
                         const placement_request &Request, time_point Now);
 
+  /** @returns where @p Endpoint is, as seen by this VM. */
+  endpoint_distance distanceOf(const fleet_endpoint &Endpoint) const;
+
+  /** Requests by how place() chose their endpoints. */
+  const choice_counts &choices() const { return Choices; }
+
   /** @returns true when @p Request may still be sent to an endpoint that
      place() has chosen. */
   bool mayUse(const fleet_endpoint &Endpoint, const placement_request &Request,
@@ -246,6 +253,7 @@
   ingress_options Options;
   configuration_pointer Configuration;
   endpoint_registry Registry;
+  choice_counts Choices;
   workspace_quota Quota;
   attempt_budget Attempts;
   overload_gate Overload;
--- a/include/sesamepaddle/load_balancing/endpoint_choice.h
+++ b/include/sesamepaddle/load_balancing/endpoint_choice.h
@@ -17,6 +17,9 @@
   OtherRegion,
 };
 
+/** @returns the name for the log. */
+std::string_view nameOf(endpoint_distance Distance);
+
 /** @returns where @p Record is, seen from a place. */
 endpoint_distance distanceOf(const endpoint_record &Record,
                              const region_name &Region,
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -459,8 +459,17 @@
   if (const auto *Terms =
           Configuration ? Configuration->findService(Service) : nullptr)
     Limits.ColdRequestsPerSecond = Terms->ColdRequestsPerSecond;
-  return placeRequest(Registry.of(Service), Request, Limits, Options.Placement,
-                      Now);
+  auto Placed = placeRequest(Registry.of(Service), Request, Limits,
+                             Options.Placement, Now);
+  if (Placed.Endpoint)
+    Choices.add(Placed.Reason, distanceOf(*Placed.Endpoint));
+  return Placed;
+}
+
+endpoint_distance
+fleet_state::distanceOf(const fleet_endpoint &Endpoint) const {
+  return sesamepaddle::distanceOf(Endpoint.Record, Options.Vm.Region,
+                                  Options.Vm.FailureDomain);
 }
 
 std::vector<std::string>
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -202,7 +202,8 @@
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
         "\nsesamepaddle_row_age_ms ",
         Fleet.rows().age(boot_clock::now()).count(),
-        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n");
+        "\nsesamepaddle_body_bytes_held ", Sessions->Bodies.held(), "\n",
+        Fleet.choices().prometheusText());
   }
 
   // Accepts all waiting connections in one pass: with one connection a pass, a
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -177,6 +177,9 @@
   bool IsKnown = false; ///< it had answered for the object before
   unsigned Load = 0;    ///< requests that it ran or queued
   choice_reason Choice = choice_reason::InOrder;
+  endpoint_distance Distance = endpoint_distance::SameDomain;
+  /** Of the endpoint's last report of its load; negative: none. */
+  milliseconds NewsAge{-1};
   time_point SentAt{}; ///< start of the latest attempt
 };
 
@@ -634,6 +637,12 @@
     State.IsKnown = Placed.Endpoint->knows(State.ObjectHash);
     State.Load = Placed.Endpoint->knownLoad(Now);
     State.Choice = Placed.Reason;
+    State.Distance = Fleet.distanceOf(*Placed.Endpoint);
+    const auto ReportedAt = Placed.Endpoint->LoadReportedAt;
+    State.NewsAge =
+        ReportedAt == time_point{}
+            ? milliseconds(-1)
+            : std::chrono::duration_cast<milliseconds>(Now - ReportedAt);
     State.SentAt = Now;
     const auto Result = co_await exchange(State, Placed.Endpoint, Wanted);
     State.LastEnd = Result.End;
--- a/src/load_balancing/endpoint_choice.cpp
+++ b/src/load_balancing/endpoint_choice.cpp
@@ -118,6 +118,18 @@
                                         : endpoint_distance::SameRegion;
 }
 
+std::string_view nameOf(endpoint_distance Distance) {
+  switch (Distance) {
+  case endpoint_distance::SameDomain:
+    return "domain";
+  case endpoint_distance::SameRegion:
+    return "region";
+  case endpoint_distance::OtherRegion:
+    return "other-region";
+  }
+  return "";
+}
+
 double distance_weights::of(endpoint_distance Distance) const {
   switch (Distance) {
   case endpoint_distance::SameDomain:
--- a/tests/load_balancing/endpoint_choice_test.cpp
+++ b/tests/load_balancing/endpoint_choice_test.cpp
@@ -1,3 +1,4 @@
+#include "sesamepaddle/load_balancing/choice_counts.h"
 #include "sesamepaddle/load_balancing/endpoint_choice.h"
 #include "sesamepaddle/load_balancing/load_estimate.h"
 #include "sesamepaddle/load_balancing/placement.h"
@@ -314,3 +315,16 @@
     CHECK(Place(7, Later).Endpoint != Home);
   }
 }
+
+TEST_CASE("choices are counted by reason and by distance") {
+  choice_counts Counts;
+  Counts.add(choice_reason::Copy, endpoint_distance::OtherRegion);
+  Counts.add(choice_reason::Overflow, endpoint_distance::OtherRegion);
+  CHECK(Counts.of(choice_reason::Copy) == 1);
+  CHECK(Counts.of(endpoint_distance::OtherRegion) == 2);
+  const auto Text = Counts.prometheusText();
+  CHECK(Text.find("endpoint_choices{reason=\"overflow\"} 1\n") !=
+        std::string::npos);
+  CHECK(Text.find("endpoint_distances{distance=\"other-region\"} 2\n") !=
+        std::string::npos);
+}
