--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -431,13 +431,6 @@
   Limits.EvacuatedDomains = Evacuated;
   Limits.Vms = sharingVms();
   Limits.VmRank = vmRank();
-  // VMs are spread over the regions as their callers are. Those that were never
-  // heard have no region yet.
-  const auto Heard = static_cast<double>(
-      std::count_if(Vms.begin(), Vms.end(), [](const auto &Entry) {
-        return !Entry.second.Region.empty();
-      }));
-  Limits.CallerShare = (static_cast<double>(NearVms) + 1) / (Heard + 1);
   return Limits;
 }
 
--- a/tests/load_balancing/even_load_test.cpp
+++ b/tests/load_balancing/even_load_test.cpp
@@ -96,6 +96,20 @@
          Plan.Duration = 4;
          return Plan;
        }()},
+      {"90 VMs, many objects",
+       [] {
+         auto Plan = unevenFleet();
+         Plan.Objects = 1'476;
+         return Plan;
+       }()},
+      {"90 VMs, many objects, from cold",
+       [] {
+         auto Plan = unevenFleet();
+         Plan.Objects = 1'476;
+         Plan.WarmUp = 0;
+         Plan.Duration = 4;
+         return Plan;
+       }()},
       {"90 VMs, region cut for 4 s",
        [] {
          auto Plan = unevenFleet();
