--- a/tests/load_balancing/load_fleet.cpp
+++ b/tests/load_balancing/load_fleet.cpp
@@ -302,6 +302,14 @@
   Endpoint.IntegratedUntil = Now;
 }
 
+reported_load load_fleet::loadOf(const true_endpoint &Endpoint) const {
+  reported_load Load;
+  Load.Running = Endpoint.Running;
+  Load.Waiting = static_cast<unsigned>(Endpoint.Waiting.size());
+  Load.Slots = Plan.Slots;
+  return Load;
+}
+
 void load_fleet::arriveAtEndpoint(std::size_t Item) {
   auto &Request = Items[Item];
   auto &Endpoint = Endpoints[Request.Endpoint];
@@ -316,9 +324,7 @@
     Endpoint.Waiting.push_back(Item);
     return;
   }
-  const reported_load Load{Endpoint.Running,
-                           static_cast<unsigned>(Endpoint.Waiting.size()),
-                           Plan.Slots};
+  const auto Load = loadOf(Endpoint);
   at(Now + delay(Endpoint.Domain, Vms[Request.Vm].Domain),
      [this, Item, Load] { answer(Item, false, Load); });
 }
@@ -353,9 +359,7 @@
     Endpoint.Waiting.pop_front();
     start(Next);
   }
-  const reported_load Load{Endpoint.Running,
-                           static_cast<unsigned>(Endpoint.Waiting.size()),
-                           Plan.Slots};
+  const auto Load = loadOf(Endpoint);
   at(Now + delay(Endpoint.Domain, Vms[Request.Vm].Domain),
      [this, Item, Load] { answer(Item, true, Load); });
 }
--- a/tests/load_balancing/load_fleet.h
+++ b/tests/load_balancing/load_fleet.h
@@ -150,6 +150,7 @@
   void place(std::size_t Item, const std::vector<endpoint_pointer> &Excluded);
   std::size_t choose(const work_item &Item,
                      const std::vector<endpoint_pointer> &Excluded);
+  reported_load loadOf(const true_endpoint &Endpoint) const;
   void arriveAtEndpoint(std::size_t Item);
   void start(std::size_t Item);
   void finish(std::size_t Item);
