The server of other VMs keeps the connections of all VMs that it reads for

Found in review of the bound on connections: a reader of the store answers two long polls of each of up to 48 VMs, twice as many while another reader is lost, and 1/32 of 4,100 descriptors are 128 connections. Further ones would have closed those of VMs that follow it. The peer address takes 1/8 of the descriptors. No test of its own; the crowd tests are unchanged.

--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -49,9 +49,12 @@
 // Fraction of a VM's descriptors that callers' connections may take. Each of
 // them may need one to an endpoint as well.
 constexpr double CallerDescriptorFraction = 0.5;
-// Fraction that the connections of each of the servers of readiness, directory,
-// other VMs and metrics may take: an eighth for the four.
+// Fraction that the connections of each of the servers of readiness, directory
+// and metrics may take.
 constexpr double ServerDescriptorFraction = 1.0 / 32;
+// The same for the server of other VMs. A reader of the store answers two long
+// polls of each of up to 48 VMs, and of twice as many while another is lost.
+constexpr double PeerDescriptorFraction = 1.0 / 8;
 // Bound on the body of a request to one of these servers. They answer requests
 // that have none.
 constexpr std::size_t MaxServerBodyBytes = 64U * 1024;
@@ -67,11 +70,12 @@
   return static_cast<std::size_t>(static_cast<double>(Bytes) * Fraction);
 }
 
-http_server_limits makeServerLimits(const fleet_bounds &Bounds) {
+http_server_limits makeServerLimits(const fleet_bounds &Bounds,
+                                    double DescriptorFraction) {
   http_server_limits Limits;
   Limits.BodyBytes = MaxServerBodyBytes;
   Limits.Connections = std::max<std::size_t>(
-      1, fractionOf(Bounds.Descriptors, ServerDescriptorFraction));
+      1, fractionOf(Bounds.Descriptors, DescriptorFraction));
   return Limits;
 }
 
@@ -191,7 +195,10 @@
         [this](const http_exchange &Exchange) -> awaitable<http_reply> {
           co_return co_await answer(Exchange.Request);
         },
-        makeServerLimits(Fleet.options().Bounds));
+        makeServerLimits(Fleet.options().Bounds,
+                         Address == Fleet.options().Vm.PeerHttpAddress
+                             ? PeerDescriptorFraction
+                             : ServerDescriptorFraction));
     if (!Server.ok())
       return Server.status();
     Servers.push_back(std::move(*Server));
