--- a/tests/ingress/gossip_recipients_test.cpp
+++ b/tests/ingress/gossip_recipients_test.cpp
@@ -1,5 +1,7 @@
 #include "ingress/gossip_recipients.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <doctest/doctest.h>
 
 #include <map>
@@ -19,14 +21,14 @@
     round of messages takes no time. */
 struct gossiping_fleet {
   gossiping_fleet() {
-    for (const std::string Region : {"lima", "cusco"})
-      for (const std::string Domain : {"a", "b"})
+    for (const char *Region : {"lima", "cusco"})
+      for (const char *Domain : {"a", "b"})
         for (std::size_t Number = 0; Number < VmsPerDomain; ++Number) {
+          const auto Place = absl::StrCat(Region, "-", Domain);
           ingress_options Options;
-          Options.Vm.Name =
-              vm_name(Region + "-" + Domain + std::to_string(Number));
+          Options.Vm.Name = vm_name(absl::StrCat(Place, Number));
           Options.Vm.Region = region_name(Region);
-          Options.Vm.FailureDomain = failure_domain_name(Region + "-" + Domain);
+          Options.Vm.FailureDomain = failure_domain_name(Place);
           States.emplace_back(Options);
         }
     for (auto &From : States)
@@ -59,7 +61,7 @@
       for (const auto &Recipient :
            chooseRecipients(From, Round, true, true, Now)) {
         const auto Name = Recipient.Vm->Name;
-        IsCrossing(From, *Recipient.Vm) ? ++Crossings : ++Others;
+        isCrossing(From, *Recipient.Vm) ? ++Crossings : ++Others;
         if (Stopped.contains(Name))
           continue;
         auto &To = state(Name);
@@ -74,7 +76,7 @@
     }
   }
 
-  static bool IsCrossing(const fleet_state &From, const known_vm &To) {
+  static bool isCrossing(const fleet_state &From, const known_vm &To) {
     return From.options().Vm.FailureDomain != To.FailureDomain;
   }
 
