Gossip goes to each VM directly again: forwarders broke a limit

Without processor time it holds. The cause is not traced: homes that change hands more often, or the margin of the limit.

The way is off by one constant until that is known; counters, message numbers and readers in each failure domain stay.

--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -22,6 +22,9 @@
 // be known everywhere before many requests run into it.
 constexpr milliseconds UrgentInterval{150};
 constexpr double UrgentMessagesPerSecond = 100;
+// Off: with forwarders a workspace at several times its limit got up to 7% more
+// than the tolerated overshoot where VMs are short of processor time.
+constexpr bool MayForward = false;
 // Crashes that are queued for the next message, and that a VM which has just
 // started is told.
 constexpr std::size_t MaxCrashes = 16;
@@ -159,7 +162,9 @@
   Timer.cancel();
 }
 
-void vm_gossip::sendNow(bool ToAll) { send(boot_clock::now(), ToAll, !ToAll); }
+void vm_gossip::sendNow(bool ToAll) {
+  send(boot_clock::now(), ToAll, MayForward && !ToAll);
+}
 
 void vm_gossip::noteTick(time_point Now) {
   if (Now - LastTick > HeldUpTime)
@@ -210,7 +215,7 @@
     const bool IsFarDue = IsUrgent || Now >= NextFarSend;
     if (IsFarDue)
       NextFarSend = Now + Fleet.messageInterval(false);
-    send(Now, IsFarDue, true);
+    send(Now, IsFarDue, MayForward);
     boost::system::error_code Error;
     Timer.expires_after(interval());
     co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Error));
@@ -265,7 +270,7 @@
 
 // Far VMs get messages less often; each contains the known objects that were
 // sent to near VMs since the previous one.
-void vm_gossip::send(time_point Now, bool ToAll, bool MayForward) {
+void vm_gossip::send(time_point Now, bool ToAll, bool UseForwarders) {
   ++Round;
   auto Message = makeMessage(Now);
   const auto Updates = Path.takeKnownObjectUpdates();
@@ -285,7 +290,7 @@
   Message.WantsReply = true;
   const auto Asking = encodeGossip(Message);
   for (const auto &[Vm, MustForward] :
-       chooseRecipients(Fleet, Round, ToAll, MayForward, Now)) {
+       chooseRecipients(Fleet, Round, ToAll, UseForwarders, Now)) {
     const auto &Text = Fleet.isNear(*Vm) ? ToNear : ToFar;
     const bool IsNeverHeard = Vm->LastHeard == time_point{};
     const auto &Datagram = MustForward ? Text.ToForward : Text.Plain;
--- a/src/ingress/vm_gossip.h
+++ b/src/ingress/vm_gossip.h
@@ -54,8 +54,8 @@
   awaitable<void> receiveLoop();
   awaitable<void> sendLoop();
   /** Sends a message to each near VM, or to each VM.
-      @param MayForward  false: directly to each of them */
-  void send(time_point Now, bool ToAll, bool MayForward);
+      @param UseForwarders  false: directly to each of them */
+  void send(time_point Now, bool ToAll, bool UseForwarders);
   static std::vector<gossip_known_objects>
   groupByEndpoint(const std::vector<request_path::known_object> &Updates);
   void sendTo(const std::string &Address, const std::string &Datagram,
