--- a/src/ingress/ahead_request.h
+++ b/src/ingress/ahead_request.h
@@ -48,7 +48,7 @@
   /** Waits for the answer. */
   awaitable<void> wait();
   /** @returns the answer; there must be one. */
-  const http_reply &reply() const { return Answer->Reply; }
+  const ingress_answer &answer() const { return *Answer; }
 
   /** @returns the bytes that it holds while it runs ahead. */
   std::size_t bytes() const { return Bytes; }
--- a/src/ingress/caller_session.cpp
+++ b/src/ingress/caller_session.cpp
@@ -185,6 +185,8 @@
 }
 
 unfinished_cause caller_session::causeOfEnd() const {
+  if (IsGivenUp)
+    return unfinished_cause::MemoryNeeded;
   if (IsStalled)
     return unfinished_cause::CallerStalled;
   return IsReset ? unfinished_cause::CallerReset
@@ -538,10 +540,8 @@
   }
   if (!endProgress())
     co_return false;
-  const bool KeepAlive = mayKeep(Request->WantsKeepAlive);
-  const bool IsWritten =
-      co_await write(Request->reply(), KeepAlive, Request->IsHead);
-  co_return IsWritten &&KeepAlive;
+  co_return co_await writeAnswer(Request->answer(), Request->WantsKeepAlive,
+                                 Request->IsHead);
 }
 
 ingress_request
@@ -592,9 +592,7 @@
   Current = nullptr;
   if (!endProgress())
     co_return false;
-  const bool KeepAlive = mayKeep(WantsKeepAlive);
-  const bool IsWritten = co_await write(Answer.Reply, KeepAlive, IsHead);
-  co_return IsWritten &&KeepAlive;
+  co_return co_await writeAnswer(Answer, WantsKeepAlive, IsHead);
 }
 
 bool caller_session::endProgress() {
@@ -604,8 +602,14 @@
 }
 
 // What runs behind is answered before the connection closes.
-bool caller_session::mayKeep(bool WantsKeepAlive) const {
-  return WantsKeepAlive && (!Context->Fleet.isStopping() || !Ahead.empty());
+awaitable<bool> caller_session::writeAnswer(const ingress_answer &Answer,
+                                            bool WantsKeepAlive, bool IsHead) {
+  const bool KeepAlive =
+      WantsKeepAlive && (!Context->Fleet.isStopping() || !Ahead.empty());
+  AnswerMemory = Answer.Memory;
+  const bool IsWritten = co_await write(Answer.Reply, KeepAlive, IsHead);
+  AnswerMemory = nullptr;
+  co_return IsWritten &&KeepAlive;
 }
 
 awaitable<bool> caller_session::write(const http_reply &Reply, bool KeepAlive,
@@ -646,6 +650,11 @@
 awaitable<boost::system::error_code>
 caller_session::writeRest(std::array<asio::const_buffer, 2> Buffers) {
   watchProgress();
+  if (AnswerMemory)
+    AnswerMemory->beginTaking(boot_clock::now(), [this] {
+      IsGivenUp = true;
+      noteStall();
+    });
   boost::system::error_code Error;
   while (Unwritten > 0 && !Error && !IsStalled) {
     const std::size_t Written = co_await Socket.async_write_some(
@@ -654,6 +663,8 @@
     consume(Buffers, Written);
   }
   StallTimer = {};
+  if (AnswerMemory)
+    AnswerMemory->endTaking();
   if (IsStalled)
     Error = asio::error::timed_out;
   co_return Error;
@@ -671,13 +682,20 @@
 void caller_session::checkProgress() {
   const auto Now = boot_clock::now();
   const auto Left = unacknowledgedBytes();
-  if (Left < std::exchange(Progress.Left, Left))
+  if (Left < std::exchange(Progress.Left, Left)) {
     Progress.StallAt = Now + StallTimeout;
+    if (AnswerMemory)
+      AnswerMemory->noteProgress(Now);
+  }
   if (Now < std::min(Progress.StallAt, Progress.Until)) {
     StallTimer = Context->Deadlines.add(Now + ProgressInterval,
                                         [this] { checkProgress(); });
     return;
   }
+  noteStall();
+}
+
+void caller_session::noteStall() {
   IsStalled = true;
   boost::system::error_code Ignored;
   Socket.cancel(Ignored);
--- a/src/ingress/caller_session.h
+++ b/src/ingress/caller_session.h
@@ -156,9 +156,10 @@
   /** Ends the time in which the first request is in progress.
       @returns false when the caller has left */
   bool endProgress();
-  /** @returns true when the connection is kept after the answer to a request
-      that is the last one that was read. */
-  bool mayKeep(bool WantsKeepAlive) const;
+  /** Writes the answer to the first request.
+      @returns true when the connection may be kept */
+  awaitable<bool> writeAnswer(const ingress_answer &Answer, bool WantsKeepAlive,
+                              bool IsHead);
   /** Sends the rest of an answer. @returns why it ended early, if it did */
   awaitable<boost::system::error_code>
   writeRest(std::array<boost::asio::const_buffer, 2> Buffers);
@@ -183,6 +184,8 @@
       until StallTimer is withdrawn. */
   void watchProgress();
   void checkProgress();
+  /** Ends the current operation of a caller that does not take its answer. */
+  void noteStall();
   /** Rejects ambiguous lengths, and bodies for which no memory is left. */
   read_end checkFraming(const incoming &Incoming) const;
   /** @returns the current configuration's limits, or the defaults. */
@@ -205,6 +208,8 @@
   std::size_t Unwritten =
       0; ///< bytes of the answer, not in the socket's buffer
   progress Progress;
+  /** Of the answer that is being written. */
+  std::shared_ptr<body_memory::holding> AnswerMemory;
   deadline_queue::registration StallTimer; ///< of checkProgress()
   unsigned WatchNumber = 0; ///< tells the current watch from ended ones
   bool IsWatching = false;
@@ -217,6 +222,7 @@
   bool IsSendClosed = false; ///< the VM sends no more
   bool IsReset = false;      ///< the caller reset the connection
   bool IsStalled = false;    ///< the caller took too long for its answer
+  bool IsGivenUp = false;    ///< and others needed the memory of the answer
   bool IsServing = false;    ///< a request has been read and is not answered
   bool IsUnfinishedNoted = false; ///< noteUnfinished() has counted the answer
 };
