--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -22,8 +22,8 @@
 // be known everywhere before many requests run into it.
 constexpr milliseconds UrgentInterval{150};
 constexpr double UrgentMessagesPerSecond = 100;
-// Off: with forwarders a workspace at several times its limit got up to 7% more
-// than the tolerated overshoot where VMs are short of processor time.
+// Off until a limit of workspaces that was exceeded is traced; see
+// docs/design/news.md.
 constexpr bool MayForward = false;
 // Crashes that are queued for the next message, and that a VM which has just
 // started is told.
