A VM logs which limits' tokens it makes, spends and grants

Cause: a limit was exceeded, and no log told which VM is its home nor where a token came from, so that two homes at a time, tokens left from a former home and requests without a token could not be told apart. Change: once a second, the four busiest limits of a VM with sums since its start. At most four lines a second.

--- a/include/sesamepaddle/admission/workspace_quota.h
+++ b/include/sesamepaddle/admission/workspace_quota.h
@@ -53,6 +53,20 @@
   unsigned EmptyHomes = 0;        ///< that had no token
 };
 
+/** What one VM has done with the tokens of a limit since it first used it. The
+    tokens that it made as a home are those spent from its bucket, those granted
+    and those available. */
+struct quota_activity {
+  std::string Workspace;
+  bool IsHome = false;
+  double RatePerSecond = 0; ///< at which this VM makes tokens
+  double Available = 0;     ///< in its own bucket
+  double SpentOwn = 0;      ///< from its own bucket
+  double SpentReceived = 0; ///< of those that other VMs granted
+  double Granted = 0;       ///< to other VMs
+  double Received = 0;      ///< from other VMs
+};
+
 /** Limits the rate and burst of each workspace over all VMs.
 
     Each request that is admitted spends a token. A limit's tokens are made by
@@ -123,6 +137,11 @@
   /** @see quota_homes::fraction */
   double fraction() const;
 
+  /** @returns the limits whose tokens were spent or granted since the last
+      call, those with the most such tokens first.
+      @param Most  their number at most */
+  std::vector<quota_activity> takeActivity(std::size_t Most, time_point Now);
+
 private:
   /** Tokens that can be spent until a point in time. */
   struct token_batch {
@@ -152,6 +171,8 @@
     /** Until when the home in each place is not asked. */
     std::vector<time_point> EmptyUntil;
     std::optional<home_bucket> Home;
+    quota_activity Activity;
+    double ReportedTokens = 0; ///< spent and granted up to takeActivity()
   };
 
   account &accountOf(const workspace_name &Workspace, const quota_terms &Terms,
--- a/include/sesamepaddle/rate_limiting/token_bucket.h
+++ b/include/sesamepaddle/rate_limiting/token_bucket.h
@@ -25,6 +25,9 @@
   /** @returns the tokens available at @p Now. */
   double available(time_point Now) const;
 
+  /** @returns the tokens that come in per second. */
+  double rate() const { return RatePerSecond; }
+
 private:
   void refill(time_point Now);
 
--- a/src/admission/workspace_quota.cpp
+++ b/src/admission/workspace_quota.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <utility>
 
 namespace sesamepaddle {
 
@@ -186,9 +188,13 @@
     auto &Batch = Account.Batches.front();
     if (--Batch.Tokens < 1)
       Account.Batches.pop_front();
+    ++Account.Activity.SpentReceived;
     return true;
   }
-  return Account.Home && Account.Home->Bucket.tryTake(1, Now);
+  if (!Account.Home || !Account.Home->Bucket.tryTake(1, Now))
+    return false;
+  ++Account.Activity.SpentOwn;
+  return true;
 }
 
 bool workspace_quota::isAvoided(const std::string &Home, time_point Now) const {
@@ -241,8 +247,10 @@
     return false;
   auto &Account = Found->second;
   const auto Until = AskedAt + GrantTime;
-  if (Grant.Tokens >= 1 && Now < Until)
+  if (Grant.Tokens >= 1 && Now < Until) {
     Account.Batches.push_back({std::floor(Grant.Tokens), Until});
+    Account.Activity.Received += std::floor(Grant.Tokens);
+  }
   if (Grant.Tokens >= 1)
     return false;
   for (std::size_t Place = 0; Place < Homes.placeCount(); ++Place)
@@ -280,6 +288,7 @@
   const double Tokens = std::floor(std::min(Wanted, Most));
   if (Tokens >= 1 && Home.Bucket.tryTake(Tokens, Now)) {
     Grant.Tokens = Tokens;
+    Account.Activity.Granted += Tokens;
     Home.Grants.push_back({Tokens, Now + GrantTime + GrantMargin});
     return Grant;
   }
@@ -306,4 +315,33 @@
   return First ? toSeconds(*First - Now) : NoAnswerRetrySeconds;
 }
 
+std::vector<quota_activity> workspace_quota::takeActivity(std::size_t Most,
+                                                          time_point Now) {
+  const auto CountTokens = [](const quota_activity &Activity) {
+    return Activity.SpentOwn + Activity.SpentReceived + Activity.Granted;
+  };
+  std::vector<std::pair<double, const std::string *>> Active;
+  for (auto &[Workspace, Account] : Accounts) {
+    const double Tokens = CountTokens(Account.Activity);
+    const double New = Tokens - std::exchange(Account.ReportedTokens, Tokens);
+    if (New > 0)
+      Active.emplace_back(New, &Workspace);
+  }
+  const auto End = Active.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(Most, Active.size()));
+  std::partial_sort(Active.begin(), End, Active.end(), std::greater<>());
+  std::vector<quota_activity> Activities;
+  for (auto Entry = Active.begin(); Entry != End; ++Entry) {
+    const auto &Account = Accounts.at(*Entry->second);
+    auto &Activity = Activities.emplace_back(Account.Activity);
+    Activity.Workspace = *Entry->second;
+    if (!Account.Home)
+      continue;
+    Activity.IsHome = Account.Home->IsHome;
+    Activity.RatePerSecond = Account.Home->Bucket.rate();
+    Activity.Available = Account.Home->Bucket.available(Now);
+  }
+  return Activities;
+}
+
 } // namespace sesamepaddle
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -28,6 +28,9 @@
 constexpr int UrgentUpdateTicks = 2;
 // Ticks between two updates of the VMs that the quota knows.
 constexpr int QuotaTicks = 2;
+// Limits whose tokens are logged each second: the busiest ones tell why a
+// workspace gets more or less than its limit.
+constexpr std::size_t MaxLimitLines = 4;
 // Change of the fraction of limits that this VM may use from which it is
 // logged.
 constexpr double LoggedFractionChange = 0.1;
@@ -370,8 +373,10 @@
       if (IsForAll || IsUrgent)
         Gossip->sendNow(IsForAll);
       // Once a second.
-      if (TickCount % 10 == 0)
+      if (TickCount % 10 == 0) {
         Upstreams.sweep(Now);
+        logLimits(Now);
+      }
       std::erase_if(OpenSessions,
                     [](const auto &Entry) { return Entry.expired(); });
       advanceDrain(Now);
@@ -397,6 +402,16 @@
         absl::StrCat("limits fraction=", Fraction, " vms=", Fleet.vmCount()));
   }
 
+  void logLimits(time_point Now) {
+    for (const auto &Limit : Fleet.quota().takeActivity(MaxLimitLines, Now))
+      Log.info(absl::StrCat(
+          "limit workspace=", Limit.Workspace, " home=", Limit.IsHome,
+          " rate=", Limit.RatePerSecond, " available=", Limit.Available,
+          " spent_own=", Limit.SpentOwn,
+          " spent_received=", Limit.SpentReceived, " granted=", Limit.Granted,
+          " received=", Limit.Received));
+  }
+
   /** @returns the number of requests whose callers have not received all of
       their answers. */
   std::size_t countUnfinished() const {
--- a/tests/admission/workspace_quota_test.cpp
+++ b/tests/admission/workspace_quota_test.cpp
@@ -191,6 +191,40 @@
   CHECK(Homes.homeOf("bakery", Lima) == "vm-1");
 }
 
+TEST_CASE("a VM tells what became of the tokens of its busiest limits") {
+  const time_point Start(std::chrono::hours(1));
+  workspace_quota Quota("vm-1", "lima", {"lima"});
+  quota_fleet_view View;
+  View.Self = {"vm-1", "lima", 1, true, true, 1h};
+  View.IsComplete = View.IsConnected = true;
+  View.MaxPause = 2s;
+  Quota.updateFleet(View, Start);
+  const workspace_name Bakery("bakery");
+  const workspace_name Grocery("grocery");
+  const auto Terms = makeTerms(40, 40);
+  CHECK(Quota.takeActivity(4, Start).empty());
+  const auto Now = Start + 500ms;
+  CHECK(Quota.admit(Bakery, Terms, Now));
+  CHECK(Quota.grant("vm-2", Bakery, Terms, 2, Now).Tokens == 2);
+  CHECK(Quota.admit(Grocery, Terms, Now));
+
+  SUBCASE("each limit until nothing new has become of its tokens") {
+    CHECK(Quota.takeActivity(4, Now).size() == 2);
+    CHECK(Quota.takeActivity(4, Now).empty());
+  }
+
+  SUBCASE("with all tokens that it has made") {
+    const auto Activity = Quota.takeActivity(1, Now);
+    REQUIRE(Activity.size() == 1);
+    CHECK(Activity[0].Workspace == "bakery");
+    CHECK(Activity[0].IsHome);
+    CHECK(Activity[0].RatePerSecond == 40);
+    CHECK(Activity[0].SpentOwn == 1);
+    CHECK(Activity[0].Granted == 2);
+    CHECK(Activity[0].Available == doctest::Approx(17));
+  }
+}
+
 TEST_CASE("no fault lets a workspace exceed its rate and burst") {
   const bool Holds = rc::check("admitted in any window", [] {
     const double Rate = *rc::gen::inRange(5, 120);
