--- a/tests/adapter/scripted_store.cpp
+++ b/tests/adapter/scripted_store.cpp
@@ -75,6 +75,8 @@
     co_return readRows(Request.Target);
   if (Path == "/rows-feed")
     co_return co_await readFeed(Request.Target);
+  if (Path == "/rows-tx" && BeforeCommit)
+    BeforeCommit();
   if (Path == "/rows-tx")
     co_return commit(Request.Body);
   co_return makeJsonReply(404, "{}");
--- a/tests/adapter/scripted_store.h
+++ b/tests/adapter/scripted_store.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,7 @@
   std::set<std::string> SilentTables; ///< whose reads are not answered
   std::size_t Calls = 0;              ///< requests received
   std::map<std::string, std::size_t> AnsweredReads; ///< by table
+  std::function<void()> BeforeCommit; ///< runs before each write is applied
 
 private:
   struct row {
--- a/tests/adapter/store_synchronizer_test.cpp
+++ b/tests/adapter/store_synchronizer_test.cpp
@@ -116,6 +116,21 @@
   }
 }
 
+// Two VMs that do not know each other make the same tokens of a limit.
+TEST_CASE("VMs that start at the same moment learn of each other") {
+  synchronizer_fixture Fixture;
+  // The other one writes its row after this one has read the list, and has read
+  // the list itself before this one writes.
+  Fixture.Store.BeforeCommit = [&] {
+    Fixture.Store.put("vm", "vm-2", R"({"gossip":"127.0.0.1:7742"})");
+  };
+  Fixture.start();
+  Fixture.await([&] { return Fixture.Store.value("vm", "vm-1").has_value(); });
+  CHECK(Fixture.awaitBriefly([&] { return Fixture.Fleet.vmCount() == 2; }));
+  CHECK(Fixture.onThread([&] { return Fixture.Fleet.sharingVms(); }) >
+        1'000'000);
+}
+
 TEST_CASE("when its reader does not answer, a VM asks another one first") {
   synchronizer_fixture Fixture;
   std::size_t SilentPolls = 0;
--- a/tests/adapter/synchronizer_fixture.h
+++ b/tests/adapter/synchronizer_fixture.h
@@ -81,6 +81,18 @@
       std::this_thread::sleep_for(milliseconds(10));
   }
 
+  /** Polls @p Condition for 20 s at most.
+      @returns whether it held */
+  template <typename Function> bool awaitBriefly(Function Condition) {
+    const auto Until = std::chrono::steady_clock::now() + milliseconds(20'000);
+    while (!onThread(Condition)) {
+      if (std::chrono::steady_clock::now() >= Until)
+        return false;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return true;
+  }
+
   /** Waits for both tables, which are read independently, in any order. */
   void awaitFirstRead() {
     await([&] {
