An answer with a status that HTTP does not define is malformed

What callers could see: an answer with status 600 or 999 from an endpoint in trouble was passed on as the endpoint's; one with 000 to 099 was taken for an interim answer and dropped, and the request waited until its time was over (504). Cause: the parser takes any three digits, and a status below 200 counted as interim. The HTTP client, which 'sesamepaddle serve', the store's calls and other VMs' rows use, gave such a status to its caller, 000 too. Change: a status outside of 100 to 599 ends the exchange as malformed: outcome unknown, 502 at once or another endpoint where the route allows it. The same check in the HTTP client.

--- a/include/sesamepaddle/net/http_message.h
+++ b/include/sesamepaddle/net/http_message.h
@@ -51,6 +51,12 @@
 /** @returns a reply with a JSON body. */
 http_reply makeJsonReply(unsigned Status, std::string Json);
 
+/** @returns true when @p Status is one that HTTP defines a class for, 100 to
+    599. A peer in trouble may send any three digits. */
+constexpr bool isHttpStatus(unsigned Status) {
+  return Status >= 100 && Status <= 599;
+}
+
 /** @returns true when @p Text contains the status line of an HTTP/1 message.
     A reason phrase or field value that does shows that the head of a truncated
     message continues with the next message. */
--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -65,11 +65,13 @@
   return Reply;
 }
 
-/** @returns why the fields of @p Message, of which @p Head has been made, can't
-    be those of one message, or an empty view. */
-std::string_view findMixture(const http::response<http::string_body> &Message,
-                             const http_reply &Head,
-                             const std::string &RequestIdField) {
+/** @returns why @p Message, of which @p Head has been made, can't be the head
+   of one answer, or an empty view. */
+std::string_view findHeadFault(const http::response<http::string_body> &Message,
+                               const http_reply &Head,
+                               const std::string &RequestIdField) {
+  if (!isHttpStatus(Head.Status))
+    return "a status that HTTP does not define";
   if (Message.count(RequestIdField) > 1)
     return "several request ids";
   const auto Reason = Message.reason();
@@ -350,13 +352,13 @@
     // Later fields, in a trailer, say nothing of the request.
     auto Reply = headOf(Message);
     // The head of a cut answer may continue with another answer.
-    auto Mixture = findMixture(Message, Reply, RequestIdField);
-    if (!Error && Mixture.empty() && !Parser.is_done()) {
+    auto Fault = findHeadFault(Message, Reply, RequestIdField);
+    if (!Error && Fault.empty() && !Parser.is_done()) {
       Error = co_await read(Connection->Socket, Connection->Buffer, Parser,
                             *Memory, message_part::Whole);
       // Of the trailer.
       if (Parser.chunked())
-        Mixture = findMixture(Message, headOf(Message), RequestIdField);
+        Fault = findHeadFault(Message, headOf(Message), RequestIdField);
     }
     if (Memory->isGivenUp())
       Error = asio::error::no_memory;
@@ -365,9 +367,9 @@
       Result.Detail = Error.message();
       co_return Result;
     }
-    if (!Mixture.empty()) {
+    if (!Fault.empty()) {
       Result.End = exchange_end::Malformed;
-      Result.Detail = Mixture;
+      Result.Detail = Fault;
       co_return Result;
     }
     Memory->setWhole();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -311,6 +311,10 @@
                           formatEndpoint(Server) + ": reply without a length");
   // Without the fields of a trailer.
   auto Reply = headOf(Parser.get());
+  if (!Error && !isHttpStatus(Reply.Status))
+    co_return makeFailure(
+        net_failure::MalformedMessage,
+        absl::StrCat(formatEndpoint(Server), ": status ", Reply.Status));
   const auto Reason = Parser.get().reason();
   if (!Error && (containsStatusLine({Reason.data(), Reason.size()}) ||
                  containsStatusLine(Reply.Headers)))
--- a/tests/ingress/mixed_heads_test.cpp
+++ b/tests/ingress/mixed_heads_test.cpp
@@ -233,6 +233,19 @@
     }
 }
 
+// An endpoint in trouble may send a status that no proper answer has.
+TEST_CASE("an answer whose status is none of HTTP's is not passed on, and does "
+          "not hold its request") {
+  kept_connection Connection;
+  for (const auto *Status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(Status);
+    auto Head = makeSuccessHead("r");
+    Head.Status = Status + std::string(" OK");
+    CHECK(Connection.ask("r", Head.text() + "whole").End ==
+          exchange_end::Malformed);
+  }
+}
+
 // The fields after a chunked body are not part of the head that it follows.
 TEST_CASE("what follows a chunked body says nothing of the request") {
   kept_connection Connection;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -210,6 +210,18 @@
   CHECK(Caller.call(Server, connection_choice::Fresh).ok());
 }
 
+TEST_CASE("a reply whose status is none of HTTP's is a failure") {
+  unresponsive_server Server;
+  test_client Caller;
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    CAPTURE(Status);
+    Server.CutReply = std::string("HTTP/1.1 ") + Status +
+                      " OK\r\nContent-Length: 5\r\n\r\nwhole";
+    const auto Reply = Caller.call(Server, connection_choice::Fresh);
+    CHECK(isFailure(Reply.status(), net_failure::MalformedMessage));
+  }
+}
+
 TEST_CASE("the fields after a chunked reply are not those of its head") {
   unresponsive_server Server;
   test_client Caller;
