A home that is replaced does not keep its tokens beside the new home's

Cause: a VM that was no home of a limit any more kept the tokens in its bucket, without end, while the new home filled a bucket of its own. After homes had moved to VMs that were added, a limit's tokens existed up to several times. Change: the rest at a former home goes at the rate at which the new one fills, so that both together hold no more than one bucket does. A former home that becomes one again goes on with what is left.

--- a/include/sesamepaddle/admission/workspace_quota.h
+++ b/include/sesamepaddle/admission/workspace_quota.h
@@ -59,7 +59,8 @@
 struct quota_activity {
   std::string Workspace;
   bool IsHome = false;
-  double RatePerSecond = 0; ///< at which this VM makes tokens
+  /** At which this VM makes tokens; negative: those of a former home go. */
+  double RatePerSecond = 0;
   double Available = 0;     ///< in its own bucket
   double SpentOwn = 0;      ///< from its own bucket
   double SpentReceived = 0; ///< of those that other VMs granted
--- a/include/sesamepaddle/rate_limiting/token_bucket.h
+++ b/include/sesamepaddle/rate_limiting/token_bucket.h
@@ -9,7 +9,8 @@
     through at most depth + rate * t tokens. */
 class token_bucket {
 public:
-  /** @param Now  when the refill starts */
+  /** @param RatePerSecond  tokens that come in, or go if it is negative
+      @param Now  when the refill starts */
   token_bucket(double RatePerSecond, double Depth, time_point Now);
 
   /** Takes @p Wanted tokens, all or none.
--- a/src/admission/workspace_quota.cpp
+++ b/src/admission/workspace_quota.cpp
@@ -144,7 +144,10 @@
   const double Part =
       Places.empty() ? 0 : fraction() / static_cast<double>(Places.size());
   const double Depth = std::max(0.0, Part * Account.Terms.depth() - Granted);
-  const double Rate = IsHome ? Part * Account.Terms.RatePerSecond : 0;
+  // What is left at a former home goes as the bucket of the new one fills, so
+  // that both together hold no more than one.
+  const double MadeRate = Part * Account.Terms.RatePerSecond;
+  const double Rate = IsHome ? MadeRate : -MadeRate;
   if (IsHome && !Home->IsHome) {
     // Tokens are made from when the former home has surely stopped.
     const double Left = Home->Bucket.available(Now);
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -405,7 +405,7 @@
   void logLimits(time_point Now) {
     for (const auto &Limit : Fleet.quota().takeActivity(MaxLimitLines, Now))
       Log.info(absl::StrCat(
-          "limit workspace=", Limit.Workspace, " home=", Limit.IsHome,
+          "tokens workspace=", Limit.Workspace, " home=", Limit.IsHome,
           " rate=", Limit.RatePerSecond, " available=", Limit.Available,
           " spent_own=", Limit.SpentOwn,
           " spent_received=", Limit.SpentReceived, " granted=", Limit.Granted,
--- a/src/rate_limiting/token_bucket.cpp
+++ b/src/rate_limiting/token_bucket.cpp
@@ -41,8 +41,8 @@
 }
 
 double token_bucket::available(time_point Now) const {
-  return std::min(Depth,
-                  Tokens + RatePerSecond * secondsBetween(LastRefill, Now));
+  return std::clamp(Tokens + RatePerSecond * secondsBetween(LastRefill, Now),
+                    0.0, Depth);
 }
 
 void token_bucket::refill(time_point Now) {
--- a/tests/admission/workspace_quota_test.cpp
+++ b/tests/admission/workspace_quota_test.cpp
@@ -179,6 +179,22 @@
   CHECK(Fleet.worstWindow() <= 1);
 }
 
+// A home that another VM replaces had a full bucket, and the new one fills its
+// own.
+TEST_CASE("a limit holds after its homes have moved to VMs that were added") {
+  for (const double Rate : {20.0, 160.0}) {
+    CAPTURE(Rate);
+    quota_fleet Fleet(3, makeTerms(Rate, Rate), 12);
+    Fleet.start();
+    while (Fleet.size() < 24) {
+      Fleet.add();
+      Fleet.run(3s, 0.02 * Rate);
+    }
+    Fleet.run(6s, 20 * Rate);
+    CHECK(Fleet.worstWindow() <= 1);
+  }
+}
+
 TEST_CASE(
     "a VM that stops makes tokens only if no other VM of its place does") {
   quota_homes Homes("lima", {"lima", "cusco"});
