--- a/tests/adapter/scripted_store.cpp
+++ b/tests/adapter/scripted_store.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <tuple>
 
 namespace sesamepaddle {
 
@@ -33,7 +34,7 @@
   auto Started = http_server::start(
       Pool, "127.0.0.1:0",
       [this](const http_exchange &Exchange) -> awaitable<http_reply> {
-        co_return co_await answer(Exchange.Request);
+        co_return co_await answerInEra(Exchange.Request);
       });
   REQUIRE(Started.ok());
   Server = std::move(*Started);
@@ -60,6 +61,18 @@
       .count();
 }
 
+void scripted_store::restore() {
+  std::tie(Rows, Revision) = Backup;
+  Era = Era.value_or(0) + 1;
+}
+
+awaitable<http_reply> scripted_store::answerInEra(const http_request &Request) {
+  auto Reply = co_await answer(Request);
+  if (Era)
+    Reply.Headers.push_back({"Store-Era", std::to_string(*Era)});
+  co_return Reply;
+}
+
 awaitable<http_reply> scripted_store::answer(const http_request &Request) {
   ++Calls;
   if (Behavior == store_behavior::Silent)
@@ -116,7 +129,7 @@
   const auto After = numberIn(Target, "after");
   const auto Until = std::chrono::steady_clock::now() +
                      milliseconds(numberIn(Target, "waitMs"));
-  if (After < OldestKept)
+  if (After < OldestKept || After > Revision)
     co_return makeJsonReply(410, "{}");
   const auto HasChange = [&] {
     for (const auto &[Id, Row] : Rows)
--- a/tests/adapter/scripted_store.h
+++ b/tests/adapter/scripted_store.h
@@ -48,6 +48,13 @@
   /** Forgets all changes so far; a feed that asks for them gets 410. */
   void dropHistory() { OldestKept = Revision; }
 
+  /** Makes a backup of all rows. */
+  void backUp() { Backup = {Rows, Revision}; }
+  /** Goes back to the backup: later rows are gone, and their versions are given
+      out again. */
+  void restore();
+
+  std::optional<std::uint64_t> Era; ///< named in all answers; unset: not
   store_behavior Behavior = store_behavior::Serving;
   std::set<std::string> SilentTables; ///< whose reads are not answered
   std::size_t Calls = 0;              ///< requests received
@@ -61,14 +68,18 @@
   };
 
   awaitable<http_reply> answer(const http_request &Request);
+  awaitable<http_reply> answerInEra(const http_request &Request);
   awaitable<http_reply> readFeed(std::string Target);
   http_reply readRows(std::string_view Target) const;
   http_reply commit(const std::string &Body);
   std::string describe(const std::string &Table, std::uint64_t After,
                        bool WithRemoved) const;
 
-  std::map<std::pair<std::string, std::string>, row> Rows;
+  using row_map = std::map<std::pair<std::string, std::string>, row>;
+
+  row_map Rows;
   std::uint64_t Revision = 0;
+  std::pair<row_map, std::uint64_t> Backup;
   std::chrono::steady_clock::time_point StartedAt =
       std::chrono::steady_clock::now();
   std::uint64_t OldestKept = 0; ///< the oldest revision a feed may start from
