--- a/tests/adapter/restored_store_test.cpp
+++ b/tests/adapter/restored_store_test.cpp
@@ -206,3 +206,21 @@
   CHECK(After->IsDone);
   CHECK(eraOf(After->Revision) == 2);
 }
+
+TEST_CASE("a VM that has no orders yet writes its row again as well") {
+  synchronizer_fixture Fixture;
+  Fixture.Store.Era = 1;
+  Fixture.Store.backUp();
+  Fixture.Store.SilentTables = {"op"};
+  Fixture.start();
+  // Its row is written, and then read with the list.
+  REQUIRE(Fixture.awaitBriefly(
+      [&] { return Fixture.Store.AnsweredReads["vm"] >= 2; }));
+  Fixture.onThread([&] {
+    Fixture.Store.restore();
+    Fixture.Store.SilentTables.clear();
+    return true;
+  });
+  CHECK(Fixture.awaitBriefly(
+      [&] { return Fixture.Store.value("vm", "vm-1").has_value(); }));
+}
