--- a/review/stand_ins_2/bed.cpp
+++ b/review/stand_ins_2/bed.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -515,6 +516,8 @@
   const auto File = path(".yaml");
   Process = ::fork();
   if (Process == 0) {
+    // It ends with this program, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int Output = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Output, STDOUT_FILENO);
     ::dup2(Output, STDERR_FILENO);
