--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -17,13 +17,17 @@
 // Longer than touchS, for which the store counts as unstable afterwards.
 constexpr milliseconds Calm{8'000};
 constexpr milliseconds Dark{2'000};
+// From the loss of power to the endpoint's leaving.
+constexpr milliseconds Notice{100};
 constexpr milliseconds Watched{5'000};
+// One of eight endpoints leaves.
+constexpr int StayingEndpoints = 7;
 constexpr int MaxOutages = 3;
 // Of four VMs: less than the share of machines that herd_kill takes.
 constexpr std::size_t MaxLost = 2;
 constexpr milliseconds DrainBound{2'000};
-constexpr milliseconds Pace{20};
-constexpr milliseconds Work{50};
+constexpr milliseconds Pace{5};
+constexpr milliseconds Work{20};
 constexpr int DeadlineMs = 2'000;
 
 std::size_t countOf(const std::string &Text, const std::string &Part) {
@@ -64,14 +68,19 @@
     Reaction.After = Work;
     return Reaction;
   };
-  endpoint Staying("i-staying", "catalogo", "lima-a", Runs, Script);
+  std::vector<std::unique_ptr<endpoint>> Staying;
+  for (int Number = 1; Number <= StayingEndpoints; ++Number)
+    Staying.push_back(std::make_unique<endpoint>(
+        "i-staying-" + std::to_string(Number), "catalogo",
+        Number % 2 == 0 ? "lima-a" : "arequipa-a", Runs, Script));
   endpoint Leaving("i-leaving", "catalogo", "arequipa-a", Runs, Script);
   Store.put("op", "config",
             makeManifest(1, {"catalogo"}, Host,
                          {makeRoute("todo", "/tienda/", "safe", "catalogo", 1)})
                 .dump());
-  Staying.beat(Store, "ready");
-  Leaving.beat(Store, "ready");
+  for (const auto &Each : Staying)
+    Each->keepBeating(Store);
+  Leaving.keepBeating(Store);
 
   fleet Fleet;
   Fleet.Folder = Options.Folder;
@@ -138,11 +147,11 @@
       note(Vm->name() + " loses power");
       Vm->signal(SIGSTOP);
     }
-    pause(milliseconds(100));
-    Store.put("servers", Leaving.id(), std::nullopt);
+    pause(Notice);
+    Leaving.leave(Store);
     const auto LeftAt = now();
     note("the store confirms that i-leaving is gone");
-    pause(Dark);
+    pause(Dark - Notice);
     for (auto *Vm : Readers) {
       Vm->signal(SIGKILL);
       Vm->start();
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -50,8 +50,8 @@
   endpoint Catalogo("i-catalogo", "catalogo", "lima-a", Runs, FirstRun);
   endpoint Pedidos("i-pedidos", "pedidos", "lima-a", Runs, OtherRun);
   Store.put("op", "config", manifestOf(1, false).dump());
-  Catalogo.beat(Store, "ready");
-  Pedidos.beat(Store, "ready");
+  Catalogo.keepBeating(Store);
+  Pedidos.keepBeating(Store);
 
   fleet Fleet;
   Fleet.Folder = Options.Folder;
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -18,6 +18,7 @@
 constexpr int RatePerSecond = 99;
 constexpr int DeadlineMs = 2'000;
 constexpr milliseconds StopTime{7'000};
+constexpr milliseconds StopGap{1'300};
 
 struct tally {
   int Sent = 0;
@@ -66,7 +67,7 @@
                           {"burst", RatePerSecond},
                           {"homeRegions", json::array()}}};
   Store.put("op", "config", Manifest.dump());
-  Endpoint.beat(Store, "ready");
+  Endpoint.keepBeating(Store);
 
   fleet Fleet;
   Fleet.Folder = Options.Folder;
@@ -92,8 +93,10 @@
         finish(2);
     pause(milliseconds(3'000));
     if (Options.IsTrouble) {
-      for (auto *Vm : {&Arequipa, &Trujillo, &Lima})
+      for (auto *Vm : {&Arequipa, &Trujillo, &Lima}) {
         Vm->signal(SIGTERM);
+        pause(StopGap);
+      }
       pause(StopTime);
       for (auto *Vm : {&Arequipa, &Trujillo, &Lima})
         if (Vm->isRunning())
--- a/review/stand_ins_2/bed.cpp
+++ b/review/stand_ins_2/bed.cpp
@@ -30,6 +30,7 @@
 
 constexpr std::size_t ReadBytes = 64 * 1024;
 constexpr int PortsOfVm = 7;
+constexpr milliseconds HeartbeatInterval{1'500};
 
 sockaddr_in makeAddress(const std::string &Ip, int Port) {
   sockaddr_in Address{};
@@ -392,7 +393,27 @@
       Listener(std::make_unique<listener>(
           "127.0.0.1", [this](connection &Accepted) { serve(Accepted); })) {}
 
+void endpoint::keepBeating(store &Store) {
+  beat(Store, "ready");
+  std::thread([this, &Store] {
+    for (;;) {
+      pause(HeartbeatInterval);
+      if (!Store.isSilent())
+        beat(Store, "ready");
+    }
+  }).detach();
+}
+
+void endpoint::leave(store &Store) {
+  const std::lock_guard Lock(RowMutex);
+  HasLeft = true;
+  Store.put("servers", Id, std::nullopt);
+}
+
 void endpoint::beat(store &Store, const std::string &State) {
+  const std::lock_guard Lock(RowMutex);
+  if (HasLeft)
+    return;
   Store.put(
       "servers", Id,
       json{
--- a/review/stand_ins_2/bed.h
+++ b/review/stand_ins_2/bed.h
@@ -109,6 +109,7 @@
   std::uint64_t version();
   /** While silent, it takes calls and answers none of them. */
   void setSilent(bool Wanted);
+  bool isSilent() const { return IsSilent; }
   /** From a change until a waiting feed is answered, and of each other call. */
   std::atomic<int> AnswerMs{4};
 
@@ -168,6 +169,11 @@
            script Script);
   /** Writes its row. */
   void beat(store &Store, const std::string &State);
+  /** Writes its row every 1.5 s, as long as the store answers, until leave().
+   */
+  void keepBeating(store &Store);
+  /** Removes its row; it goes on serving. */
+  void leave(store &Store);
   /** Ends the process: its connections are reset, new ones refused. */
   void end();
   const std::string &id() const { return Id; }
@@ -180,7 +186,9 @@
   std::string Zone;
   run_log &Runs;
   script Script;
+  std::mutex RowMutex; // of the two below
   std::uint64_t Sequence = 0;
+  bool HasLeft = false;
   std::atomic<bool> HasEnded{false};
   std::unique_ptr<listener> Listener;
 };
