--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -165,6 +165,7 @@
   bool IsLateCounted = false;
   std::string Reason;     ///< of the answer, for the log
   std::string AttemptLog; ///< endpoint and outcome of each attempt, for the log
+  std::string RuleLog;    ///< route and configuration of each, for the log
   std::string RetryLog;   ///< figures of the latest retry decision, for the log
   // For the log: the latest endpoint, and why it was chosen.
   std::string Endpoint;
@@ -692,6 +693,9 @@
     State.LastEnd = Result.End;
     absl::StrAppend(&State.AttemptLog, State.AttemptLog.empty() ? "" : ",",
                     State.Endpoint, ":", outcomeName(Result));
+    absl::StrAppend(&State.RuleLog, State.RuleLog.empty() ? "" : ",",
+                    State.Route->Name.str(), "/",
+                    State.Configuration->version());
     recordOutcome(State, *Placed.Endpoint, Result);
     State.Tried.push_back(Placed.Endpoint);
     if (Result.End == exchange_end::Cancelled) {
@@ -826,7 +830,8 @@
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
         " load=", State.Load, " attempts=", State.SentAttempts,
         " unreached=", State.Unreached, " tried=", State.AttemptLog,
-        State.RetryLog, " ms=", toMilliseconds(Took),
+        State.Tried.size() > 1 ? " rules=" + State.RuleLog : "", State.RetryLog,
+        " ms=", toMilliseconds(Took),
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
   Log.write(MakeLine, boot_clock::now());
