--- a/include/sesamepaddle/admission/attempt_budget.h
+++ b/include/sesamepaddle/admission/attempt_budget.h
@@ -34,6 +34,7 @@
   std::uint64_t RefusedRetries = 0; ///< for lack of budget
   std::uint64_t Unconnected = 0;    ///< attempts that got no connection
   std::uint64_t Withdrawn = 0; ///< not sent on the connection that was opened
+  std::uint64_t Forbidden = 0; ///< retries that a newer configuration forbade
 };
 
 /** Limits the retries of this VM to each service in a sliding window.
@@ -61,6 +62,9 @@
   /** Counts an attempt of which no byte was sent. It uses none of the budget.
       @param WasConnected  false when there was no connection */
   void addUnsent(const service_name &Service, bool WasConnected);
+  /** Counts a retry that a configuration newer than the last attempt forbids.
+   */
+  void addForbidden(const service_name &Service);
 
   /** Calls @p Visit(service_name, attempt_totals) for each service. */
   template <typename Visitor> void forEach(Visitor Visit) const {
--- a/src/admission/attempt_budget.cpp
+++ b/src/admission/attempt_budget.cpp
@@ -87,4 +87,8 @@
   ++(WasConnected ? Totals.Withdrawn : Totals.Unconnected);
 }
 
+void attempt_budget::addForbidden(const service_name &Service) {
+  ++Windows[Service].Totals.Forbidden;
+}
+
 } // namespace sesamepaddle
--- a/src/command_line/request_explanation.cpp
+++ b/src/command_line/request_explanation.cpp
@@ -102,6 +102,12 @@
       {"+no-time", "no time was left for another one"},
       {"+no-attempts", "the route allows no more endpoints for one request"},
       {"+no-budget", "this VM's part of the budget of retries was spent"},
+      {"+not-repeatable",
+       "a configuration that came after the attempt does not "
+       "allow to repeat it"},
+      {"+not-allowed",
+       "a configuration that came after the attempt has no route "
+       "or key for it"},
       {"+no-endpoint", "no other endpoint could be used"},
       {"+endpoints-quiet",
        "all endpoints that it could use had asked for no requests"},
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -278,6 +278,7 @@
           Add("refused_retry", Totals.RefusedRetries);
           Add("no_connection", Totals.Unconnected);
           Add("withdrawn", Totals.Withdrawn);
+          Add("forbidden_retry", Totals.Forbidden);
         });
     return Text;
   }
--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -294,6 +294,8 @@
   co_return refuse(State, 429, "quota", std::min(Seconds, 1.0));
 }
 
+// The configuration may have been replaced since the last attempt was made.
+// What it allowed then says nothing of an attempt that is made by another one.
 bool request_path::mayRetry(request_state &State, bool WasSent) {
   if (State.Request.Cancel->isCancelled())
     return false;
@@ -301,12 +303,28 @@
     State.Reason += "+no-time";
     return false;
   }
-  if (!WasSent)
-    return ++State.Unreached < MaxUnreachedAttempts;
-  if (State.SentAttempts >= State.Route->MaxAttempts) {
+  const unsigned FormerMaxAttempts = State.Route->MaxAttempts;
+  if (authorize(State)) {
+    // send() refuses it, and the caller learns why.
+    if (!State.MayHaveRun)
+      return true;
+    State.Reason += "+not-allowed";
+    Fleet.attempts().addForbidden(State.Service);
+    return false;
+  }
+  if (State.MayHaveRun && State.Route->Kind != request_kind::Idempotent) {
+    State.Reason += "+not-repeatable";
+    Fleet.attempts().addForbidden(State.Service);
+    return false;
+  }
+  const unsigned MaxAttempts =
+      std::min(FormerMaxAttempts, State.Route->MaxAttempts);
+  if (State.SentAttempts > 0 && State.SentAttempts >= MaxAttempts) {
     State.Reason += "+no-attempts";
     return false;
   }
+  if (!WasSent)
+    return ++State.Unreached < MaxUnreachedAttempts;
   return takeRetry(State);
 }
 
@@ -820,17 +838,19 @@
   Metrics.add(State.Workspace != nullptr ? State.Workspace->Name
                                          : workspace_name("none"),
               absl::StrCat(Route, "/", Reply.Status), Took);
+  const auto Version = State.Configuration ? State.Configuration->version() : 0;
   const auto MakeLine = [&] {
+    const bool IsRuleKnown = State.RuleLog.empty() ||
+                             State.RuleLog == absl::StrCat(Route, "/", Version);
     return absl::StrCat(
         "request id=", State.RequestId, " status=", Reply.Status,
-        " reason=", State.Reason, " route=", Route,
-        " version=", State.Configuration ? State.Configuration->version() : 0,
+        " reason=", State.Reason, " route=", Route, " version=", Version,
         " rows_ms=", Fleet.rows().age(State.SentAt).count(),
         " service=", State.Service.str(), " workspace=", Workspace,
         " endpoint=", State.Endpoint, " known=", State.IsKnown,
         " load=", State.Load, " attempts=", State.SentAttempts,
         " unreached=", State.Unreached, " tried=", State.AttemptLog,
-        State.Tried.size() > 1 ? " rules=" + State.RuleLog : "", State.RetryLog,
+        IsRuleKnown ? "" : " rules=" + State.RuleLog, State.RetryLog,
         " ms=", toMilliseconds(Took),
         " object=", toAbsl(findHeader(Message.Headers, Fields.Object)));
   };
--- a/src/ingress/request_path.h
+++ b/src/ingress/request_path.h
@@ -122,7 +122,8 @@
   std::shared_ptr<upstream_request>
   makeUpstreamRequest(const request_state &State,
                       const fleet_endpoint &Endpoint) const;
-  /** Decides whether another attempt is allowed, and counts it.
+  /** Decides whether the configuration in force allows another attempt, and
+      counts it. Nothing may be awaited between this and the attempt.
       @param WasSent  false when the last attempt did not reach its endpoint;
                       then it costs neither an attempt nor the retry budget */
   bool mayRetry(request_state &State, bool WasSent);
--- a/tests/command_line/request_explanation_test.cpp
+++ b/tests/command_line/request_explanation_test.cpp
@@ -30,6 +30,7 @@
 vm-1 2026-02-13 16:54:15.317 INFO  ingress: request id=outdated status=503 reason=+rows-outdated route= version=9 service= workspace= endpoint= known=0 load=0 attempts=0 unreached=0 ms=0.1 object=17
 vm-1 2026-02-13 16:54:15.320 INFO  ingress: request id=lost status=502 reason=lost route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=1 load=1 attempts=1 unreached=0 ms=300 object=17
 vm-1 2026-02-13 16:54:15.330 INFO  ingress: request id=twice status=502 reason=not-run+no-attempts route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=0 load=3 attempts=2 unreached=0 tried=i-6a:lost,i-7f:503 ms=120.7 object=27
+vm-1 2026-02-13 16:54:15.335 INFO  ingress: request id=changed status=502 reason=lost+not-repeatable route=r-2 version=9 service=orders workspace=bakery endpoint=i-7f known=0 load=3 attempts=1 unreached=0 tried=i-6a:lost rules=r-1/8 ms=120.7 object=27
 vm-1 2026-02-13 16:54:15.340 INFO  ingress: request id=left status=502 reason=caller-left route=r-1 version=9 service=orders workspace=bakery endpoint=i-7f known=1 load=1 attempts=0 unreached=0 tried=i-7f:caller-left ms=300 object=17
 vm-1 2026-02-13 16:54:15.400 INFO  node: endpoint id=i-7f suspect=0 good=5 bad=1 service=orders
 vm-2 2026-02-13 16:54:16.000 WARN  ingress: lines dropped=12
@@ -75,6 +76,8 @@
     CHECK(mentions(causeOf("late"), "may have run it"));
     CHECK(mentions(causeOf("late"), "6 requests there, the object new to it"));
     CHECK(mentions(causeOf("lost"), "may have run it"));
+    CHECK(mentions(causeOf("changed"), "may have run it"));
+    CHECK(mentions(causeOf("changed"), "does not allow to repeat it"));
   }
 
   SUBCASE("earlier attempts and a caller's disconnect are reported") {
