A shorter time limit of a route holds for attempts to come

What callers saw: a request was sent again, and held, beyond the time limit that its route has by now. The limit was taken at the request's arrival, while route, kind and endpoints are looked up anew before each attempt.

--- a/src/ingress/request_path.cpp
+++ b/src/ingress/request_path.cpp
@@ -299,10 +299,6 @@
 bool request_path::mayRetry(request_state &State, bool WasSent) {
   if (State.Request.Cancel->isCancelled())
     return false;
-  if (State.Deadline - boot_clock::now() < MinTimeForRetry) {
-    State.Reason += "+no-time";
-    return false;
-  }
   const unsigned FormerMaxAttempts = State.Route->MaxAttempts;
   if (authorize(State)) {
     // send() refuses it, and the caller learns why.
@@ -317,6 +313,12 @@
     Fleet.attempts().addForbidden(State.Service);
     return false;
   }
+  State.Deadline =
+      std::min(State.Deadline, State.Request.Arrival + State.Route->Timeout);
+  if (State.Deadline - boot_clock::now() < MinTimeForRetry) {
+    State.Reason += "+no-time";
+    return false;
+  }
   const unsigned MaxAttempts =
       std::min(FormerMaxAttempts, State.Route->MaxAttempts);
   if (State.SentAttempts > 0 && State.SentAttempts >= MaxAttempts) {
--- a/tests/ingress/changed_rules_test.cpp
+++ b/tests/ingress/changed_rules_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -70,12 +71,19 @@
            Fixture.endpoint(1).requests().size();
   }
 
+  /** @returns the longest time that a later attempt was given, in
+      milliseconds. */
+  int longestDeadline() const { return LongestDeadline; }
+
 private:
   scripted_endpoint::script script() {
     return [this](const std::string &Request) {
-      if (HasArrived.exchange(true))
+      if (HasArrived.exchange(true)) {
+        LongestDeadline = std::max(LongestDeadline.load(),
+                                   std::stoi(fieldOf(Request, "Deadline")));
         return scripted_answer{makeAnswer(Request, "second"), "", false, false,
                                milliseconds(0)};
+      }
       auto Answer = First(Request);
       Answer.IsDue = [this] { return IsReplaced.load(); };
       return Answer;
@@ -91,6 +99,7 @@
   scripted_endpoint::script First;
   std::atomic<bool> HasArrived{false};
   std::atomic<bool> IsReplaced{false};
+  std::atomic<int> LongestDeadline{0};
   mutable ingress_fixture Fixture;
 };
 
@@ -214,3 +223,26 @@
     CHECK(Bed.requests() == 1);
   }
 }
+
+// Guards against a request that is held longer than its route allows by now.
+TEST_CASE("a route with a shorter time limit bounds the attempts to come") {
+  auto Short = Safe;
+  SUBCASE("which is over") {
+    Short.Timeout = milliseconds(1);
+    changed_rules_bed Bed(loseAnswer);
+    CHECK(isStatus(Bed.send({Safe}, {Short}), 502));
+    CHECK(Bed.requests() == 1);
+  }
+  SUBCASE("which is handed on to the next endpoint") {
+    Short.Timeout = milliseconds(2'000);
+    changed_rules_bed Bed(loseAnswer);
+    CHECK(isStatus(Bed.send({Safe}, {Short}), 200));
+    CHECK(Bed.longestDeadline() <= 2'000);
+  }
+  SUBCASE("a longer one gives no more time than the first") {
+    Short.Timeout = milliseconds(60'000);
+    changed_rules_bed Bed(loseAnswer);
+    CHECK(isStatus(Bed.send({Safe}, {Short}), 200));
+    CHECK(Bed.longestDeadline() <= 3'000);
+  }
+}
