Log: how many other VMs are heard, and how many may be running

A VM that makes no tokens of a limit logged 'limits fraction=0 vms=10'. That does not tell VMs that are cut off from VMs that are gone and still counted. The line has heard= and may_run= now, and the metrics have the same figures.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -172,6 +172,13 @@
       VM does not count as silent; false when none has ever arrived. */
   bool isHeard(const known_vm &Vm, time_point Now) const;
 
+  /** Of the other VMs. */
+  struct vm_counts {
+    std::size_t Heard = 0;
+    std::size_t MayRun = 0; ///< heard, or perhaps only cut off
+  };
+  vm_counts countVms(time_point Now) const;
+
   /** @returns the number of known VMs, this one included, alive or not. */
   std::size_t vmCount() const { return Vms.size() + 1; }
 
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -408,6 +408,15 @@
   return isHeard(Vm, Now) || (Vm.IsReady && Now - Vm.LastHeard < MaxSilence);
 }
 
+fleet_state::vm_counts fleet_state::countVms(time_point Now) const {
+  vm_counts Counts;
+  for (const auto &[Name, Vm] : Vms) {
+    Counts.Heard += isHeard(Vm, Now) ? 1 : 0;
+    Counts.MayRun += mayBeRunning(Vm, Now) ? 1 : 0;
+  }
+  return Counts;
+}
+
 bool fleet_state::hasOtherSeeds() const {
   const auto &Seeds = Options.Vm.SeedGossipAddresses;
   return std::any_of(Seeds.begin(), Seeds.end(), [this](const auto &Seed) {
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -240,6 +240,7 @@
   }
 
   std::string metricsText() {
+    const auto Others = Fleet.countVms(boot_clock::now());
     return absl::StrCat(
         Metrics.prometheusText(), Fleet.traffic().prometheusText(),
         "sesamepaddle_connections ", Sessions->Open,
@@ -249,6 +250,8 @@
         "\nsesamepaddle_endpoint_connections_idle ",
         Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
         Fleet.endpoints().size(), "\nsesamepaddle_vms ", Fleet.vmCount(),
+        "\nsesamepaddle_vms_heard ", Others.Heard,
+        "\nsesamepaddle_vms_may_run ", Others.MayRun,
         "\nsesamepaddle_configuration_version ",
         Fleet.configuration() ? Fleet.configuration()->version() : 0,
         "\nsesamepaddle_limit_fraction ", Fleet.quota().fraction(),
@@ -399,8 +402,10 @@
     if (std::abs(Fraction - LoggedFraction) < LoggedFractionChange)
       return;
     LoggedFraction = Fraction;
-    Log.info(
-        absl::StrCat("limits fraction=", Fraction, " vms=", Fleet.vmCount()));
+    const auto Others = Fleet.countVms(Now);
+    Log.info(absl::StrCat("limits fraction=", Fraction,
+                          " vms=", Fleet.vmCount(), " heard=", Others.Heard,
+                          " may_run=", Others.MayRun));
   }
 
   void logLimits(time_point Now) {
