A VM that stops as planned says so in the store's list of VMs

Cause: rows never leave the store's list of VMs, and a VM that starts counts each of them for a minute as one that may be running. It heard none of them, and a VM that has heard nobody made no tokens at all.

Change: a planned stop marks the VM's row, under the condition that it is still the row of that process; a start writes it anew. VMs that start do not count marked rows. A VM whose former process is in the list is counted by the others and makes its part; one that finds no other is alone and makes the whole.

--- a/include/sesamepaddle/admission/workspace_quota.h
+++ b/include/sesamepaddle/admission/workspace_quota.h
@@ -38,7 +38,8 @@
   std::vector<quota_vm> Others; ///< all that may be running, heard or not
   /** Others lists all VMs that exist. */
   bool IsComplete = false;
-  /** This VM has heard another one since its start, or is the only one. */
+  /** The others leave its part to this VM: it has heard one of them since its
+      start, they count it all the same, or it is the only one. */
   bool IsConnected = false;
   duration SettleTime{0}; ///< @see quota_homes::update
   /** Time after which all VMs know that a home has been replaced. */
--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -44,6 +44,14 @@
   time_point FirstKnown{};  ///< arrival of its first message
 };
 
+/** How the store's list of VMs named this VM when it was read. */
+enum class listed_as : std::uint8_t {
+  Missing, ///< not at all: others may never have heard of it
+  Stopped, ///< by the row of a former process that stopped as planned
+  Running, ///< by the row of a former process: all others count this VM
+  Entered, ///< by the row of this process
+};
+
 /** Number of requests that a VM has in flight at one endpoint. */
 struct endpoint_load {
   std::uint64_t Endpoint = 0; ///< hash of its identifier
@@ -125,13 +133,11 @@
   void applyVm(known_vm Vm);
   /** Adds a VM from which no message has arrived yet. A known one is kept. */
   void learnVm(known_vm Vm);
-  /** Records that the VMs of the store's list have been learned.
-      @param HasSelf  this VM was among them, so that the fleet has run before;
-                      else other VMs may not have written their rows yet */
-  void setVmsListed(bool HasSelf) {
-    AreVmsListed = true;
-    IsFleetListed = IsFleetListed || HasSelf;
-  }
+  /** Removes a VM of which the store's list says that it has stopped, unless a
+      message of it has arrived. */
+  void forgetUnheardVm(const vm_name &Name);
+  /** Records that the VMs of the store's list have been learned. */
+  void setVmsListed(listed_as Self);
 
   /** Replaces the bounds, after a change of settings. */
   void setBounds(const fleet_bounds &Bounds) { Options.Bounds = Bounds; }
@@ -179,6 +185,14 @@
   };
   vm_counts countVms(time_point Now) const;
 
+  /** @returns true when @p Vm has said that it takes no requests and has fallen
+      silent since: it has ended. */
+  bool hasEnded(const known_vm &Vm, time_point Now) const;
+
+  /** @returns true when this VM may make its part of the tokens of limits: the
+      others count it, or there are none. */
+  bool mayMakeTokens(time_point Now) const;
+
   /** @returns the number of known VMs, this one included, alive or not. */
   std::size_t vmCount() const { return Vms.size() + 1; }
 
@@ -266,6 +280,9 @@
   /** @returns true when there are other VMs than this one. */
   bool hasOtherSeeds() const;
 
+  /** @returns true when there is surely no other VM. */
+  bool isAlone() const;
+
   /** @returns true when @p Vm may be running, although it may be cut off. */
   bool mayBeRunning(const known_vm &Vm, time_point Now) const;
 
@@ -301,7 +318,9 @@
   std::optional<stop_schedule> Stop;
   bool IsStoreLost = false;
   bool AreVmsListed = false;
-  bool IsFleetListed = false; ///< in a list that had this VM too
+  bool IsFleetListed = false; ///< in a list that had a former process too
+  bool IsCounted = false;     ///< by the others, since a former process
+  bool HasEntered = false;    ///< the list has been read with this VM's row
   time_point StartedAt;       ///< of this process
   std::mt19937_64 Random;
 };
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -80,7 +80,7 @@
 // loss of one home should leave most of a limit.
 constexpr std::size_t MinRegionsAsPlaces = 3;
 // A silent VM may be cut off for minutes. One that was never heard is only
-// known from the store's list, in which VMs that are gone stay.
+// known from the store's list, in which VMs that were lost stay.
 constexpr std::chrono::minutes MaxSilence{10};
 constexpr std::chrono::seconds MaxUnheardTime{60};
 // Messages of others have told a VM their names by then, also while the store
@@ -401,11 +401,32 @@
   Vms.emplace(Vm.Name, std::move(Vm));
 }
 
+void fleet_state::forgetUnheardVm(const vm_name &Name) {
+  const auto Found = Vms.find(Name);
+  if (Found == Vms.end() || Found->second.LastHeard != time_point{})
+    return;
+  if (isNear(Found->second))
+    --NearVms;
+  Vms.erase(Found);
+}
+
+void fleet_state::setVmsListed(listed_as Self) {
+  AreVmsListed = true;
+  IsFleetListed =
+      IsFleetListed || Self == listed_as::Stopped || Self == listed_as::Running;
+  IsCounted = IsCounted || Self == listed_as::Running;
+  HasEntered = HasEntered || Self == listed_as::Entered;
+}
+
+bool fleet_state::hasEnded(const known_vm &Vm, time_point Now) const {
+  return Vm.LastHeard != time_point{} && !Vm.IsReady && !isHeard(Vm, Now);
+}
+
 bool fleet_state::mayBeRunning(const known_vm &Vm, time_point Now) const {
   if (Vm.LastHeard == time_point{})
     return Now - Vm.LearnedAt < MaxUnheardTime;
-  // One that said that it takes no requests and fell silent has ended.
-  return isHeard(Vm, Now) || (Vm.IsReady && Now - Vm.LastHeard < MaxSilence);
+  return isHeard(Vm, Now) ||
+         (!hasEnded(Vm, Now) && Now - Vm.LastHeard < MaxSilence);
 }
 
 fleet_state::vm_counts fleet_state::countVms(time_point Now) const {
@@ -424,10 +445,25 @@
   });
 }
 
+// A VM that knows nobody may be cut off. But one that starts writes its row
+// before it reads the list: when this VM has read the list with its own row and
+// found no other, each VM that starts later finds this one.
+bool fleet_state::isAlone() const {
+  return Vms.empty() && (HasEntered || !hasOtherSeeds());
+}
+
+// Others that count this VM leave its part to it, whether they hear it or not.
+bool fleet_state::mayMakeTokens(time_point Now) const {
+  const bool HasHeardAny =
+      std::any_of(Vms.begin(), Vms.end(), [](const auto &Entry) {
+        return Entry.second.LastHeard != time_point{};
+      });
+  return HasHeardAny || IsCounted || isAlone() || uptime(Now) > MaxUnheardTime;
+}
+
 std::size_t fleet_state::sharingVms(time_point Now) const {
-  // A VM that knows nobody is cut off, rather than alone.
   const bool IsLearning = uptime(Now) < MaxLearningTime || Vms.empty();
-  if (IsLearning && !IsFleetListed && hasOtherSeeds())
+  if (IsLearning && !IsFleetListed && !isAlone())
     return std::numeric_limits<std::size_t>::max();
   return vmCount();
 }
@@ -440,10 +476,8 @@
       Self.Name.str(), placeOf(Options.Places, Self.Region, Self.FailureDomain),
       Self.Cores,      true,
       IsReady,         uptime(Now)};
-  bool HasHeardAny = false;
   View.Others.reserve(Vms.size());
   for (const auto &[Name, Vm] : Vms) {
-    HasHeardAny = HasHeardAny || Vm.LastHeard != time_point{};
     if (!mayBeRunning(Vm, Now))
       continue;
     const bool IsHeard = isHeard(Vm, Now);
@@ -452,8 +486,7 @@
          Vm.Cores, IsHeard, IsHeard && Vm.IsReady, Now - Vm.StartedAt});
   }
   View.IsComplete = AreVmsListed;
-  View.IsConnected = HasHeardAny || (Vms.empty() && !hasOtherSeeds()) ||
-                     uptime(Now) > MaxUnheardTime;
+  View.IsConnected = mayMakeTokens(Now);
   const auto Interval = messageInterval(true);
   View.SettleTime = SettleIntervals * Interval;
   View.TakeoverDelay = Interval;
--- a/src/ingress/vm_gossip.cpp
+++ b/src/ingress/vm_gossip.cpp
@@ -536,7 +536,8 @@
   const bool KnowsFew = 2 * std::size_t{Message.KnownVms} < Fleet.vms().size();
   if (KnowsNobody || (KnowsFew && IsDetailSender()))
     for (const auto &[Name, Known] : Fleet.vms())
-      Reply.Vms.push_back({Name.str(), Known.GossipAddress});
+      if (!Fleet.hasEnded(Known, Now))
+        Reply.Vms.push_back({Name.str(), Known.GossipAddress});
   sendTo(Message.GossipAddress, encodeGossip(Reply), traffic_kind::Gossip,
          Fleet.distanceTo(region_name(Message.Region),
                           failure_domain_name(Message.FailureDomain)));
--- a/tests/adapter/synchronizer_fixture.h
+++ b/tests/adapter/synchronizer_fixture.h
@@ -33,6 +33,9 @@
          R"(,"coldRemainingS":0}})";
 }
 
+/** Of the VM's process. */
+constexpr incarnation FixtureIncarnation{7};
+
 /** A fake store and the synchronizer of one VM, on a thread of their own. */
 class synchronizer_fixture {
 public:
@@ -150,6 +153,7 @@
   static ingress_options makeOptions() {
     ingress_options Options;
     Options.Vm.Name = vm_name("vm-1");
+    Options.Vm.Incarnation = FixtureIncarnation;
     Options.Vm.Region = region_name("lima");
     Options.Vm.GossipAddress = "127.0.0.1:7740";
     Options.Vm.SeedGossipAddresses = {"127.0.0.1:7741"};
--- a/tests/ingress/fleet_state_test.cpp
+++ b/tests/ingress/fleet_state_test.cpp
@@ -274,19 +274,19 @@
 
   SUBCASE("when it has not heard of any") {
     CHECK(Fleet.sharingVms(Later) > NoShare);
-    Fleet.setVmsListed(false);
+    Fleet.setVmsListed(listed_as::Missing);
     CHECK(Fleet.sharingVms(Later) > NoShare);
   }
   SUBCASE("before it can have heard of all") {
     AddVm(1);
-    Fleet.setVmsListed(false);
+    Fleet.setVmsListed(listed_as::Missing);
     CHECK(Fleet.sharingVms() > NoShare);
     CHECK(Fleet.sharingVms(Later) == 2);
   }
   SUBCASE("and counts those that it does not hear any more") {
     for (int Number = 0; Number < 67; ++Number)
       AddVm(Number);
-    Fleet.setVmsListed(true);
+    Fleet.setVmsListed(listed_as::Running);
     CHECK(Fleet.sharingVms() == 68);
     CHECK(Fleet.sharingVms(Later) == 68);
   }
