--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -171,6 +171,10 @@
 
   std::size_t size() const { return Endpoints.size(); }
 
+  /** @returns the number of endpoints that are usable although their records
+      are gone. */
+  std::size_t inGrace() const { return RemovalTimes.size(); }
+
   /** @returns the number of incarnations whose announcements are kept. */
   std::size_t announcements() const { return Announced.size(); }
 
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -250,6 +250,8 @@
         "\nsesamepaddle_endpoint_connections_idle ",
         Upstreams.idleConnections(), "\nsesamepaddle_endpoints ",
         Fleet.endpoints().size(), "\nsesamepaddle_vms ", Fleet.vmCount(),
+        "\nsesamepaddle_endpoints_in_grace ", Fleet.endpoints().inGrace(),
+        "\nsesamepaddle_store_lost ", Fleet.isStoreLost() ? 1 : 0,
         "\nsesamepaddle_vms_heard ", Others.Heard,
         "\nsesamepaddle_vms_may_run ", Others.MayRun,
         "\nsesamepaddle_configuration_version ",
