--- a/include/sesamepaddle/ingress/ingress.h
+++ b/include/sesamepaddle/ingress/ingress.h
@@ -11,6 +11,7 @@
 #include "sesamepaddle/ingress/ingress_node.h"
 #include "sesamepaddle/ingress/ingress_options.h"
 #include "sesamepaddle/ingress/refresh_schedule.h"
+#include "sesamepaddle/ingress/removal_grace.h"
 #include "sesamepaddle/ingress/row_freshness.h"
 #include "sesamepaddle/ingress/stop_schedule.h"
 #include "sesamepaddle/ingress/traffic_counter.h"
--- a/include/sesamepaddle/load_balancing/endpoint_registry.h
+++ b/include/sesamepaddle/load_balancing/endpoint_registry.h
@@ -146,6 +146,10 @@
   void retain(std::span<const endpoint_id> Present,
               std::optional<time_point> UsableUntil);
 
+  /** Sets the time of all endpoints with a UsableUntil to @p Until, where that
+      is later. */
+  void prolongRemovals(time_point Until);
+
   /** Removes the endpoints whose UsableUntil has passed. */
   void expire(time_point Now);
 
--- a/src/load_balancing/endpoint_registry.cpp
+++ b/src/load_balancing/endpoint_registry.cpp
@@ -201,6 +201,11 @@
     remove(Id, UsableUntil);
 }
 
+void endpoint_registry::prolongRemovals(time_point Until) {
+  for (auto &[Id, UsableUntil] : RemovalTimes)
+    UsableUntil = std::max(UsableUntil, Until);
+}
+
 void endpoint_registry::expire(time_point Now) {
   std::vector<endpoint_id> Expired;
   for (const auto &[Id, Until] : RemovalTimes)
--- a/tests/load_balancing/placement_test.cpp
+++ b/tests/load_balancing/placement_test.cpp
@@ -270,6 +270,14 @@
     Fleet.Registry.expire(Until);
     CHECK(Fleet.Registry.find(Id) == nullptr);
   }
+  SUBCASE("stay longer when the store is lost again before") {
+    Fleet.Registry.prolongRemovals(Start + milliseconds(3'000));
+    Fleet.Registry.prolongRemovals(Start + milliseconds(2'500));
+    Fleet.Registry.expire(Start + milliseconds(2'900));
+    CHECK(Fleet.Registry.find(Id) != nullptr);
+    Fleet.Registry.expire(Start + milliseconds(3'000));
+    CHECK(Fleet.Registry.find(Id) == nullptr);
+  }
   SUBCASE("stay when their record has come back") {
     Fleet.Registry.apply(makeRecord(1, "lima"), Start);
     Fleet.Registry.expire(Until);
