A VM that reads for others tries the store again after an outage

What callers saw: nothing by itself. After an outage the first VM that read the store again read for all; the others counted as cut off from the store for as long as it lived.

Cause: 'lost' was taken back only by a read of the VM's own, and a VM that follows another one makes none.

Change: a VM that would be among the readers if the store answered it reads again every 2 s until it does. The others stay quiet.

--- a/include/sesamepaddle/ingress/fleet_state.h
+++ b/include/sesamepaddle/ingress/fleet_state.h
@@ -104,6 +104,10 @@
       do so; VMs that disagree on the readers do no harm. */
   const known_vm *storeReader(time_point Now) const;
 
+  /** @returns true when this VM would read the store itself if its latest
+      attempt had not failed. */
+  bool wouldReadStore(time_point Now) const;
+
   /** @returns true when this VM is one of the few that probe the store often
       while no VM reaches it. The others still probe, at a lower rate, as one of
       them may be the only VM that can reach the store. */
@@ -268,6 +272,10 @@
     failure_domain_name FailureDomain;
     const known_vm *Vm; ///< null: this VM
   };
+  /** @returns the VMs that read the store for others; null stands for this one.
+      @param CountsSelf  whether this VM may be among them */
+  std::vector<reader_candidate> storeReaders(bool CountsSelf,
+                                             time_point Now) const;
   /** @returns the @p Wanted best ones, of as many failure domains as possible.
    */
   static std::vector<reader_candidate>
--- a/include/sesamepaddle/ingress/refresh_schedule.h
+++ b/include/sesamepaddle/ingress/refresh_schedule.h
@@ -27,6 +27,9 @@
     /** Time between two reads once the store has failed this VM twice in a
         row. */
     std::chrono::milliseconds RetryInterval{0};
+    /** This VM's latest read of the store failed, and it would read for others
+        if the store answered. */
+    bool IsOnTrial = false;
   };
 
   /** @returns true when the table should be read now. */
--- a/src/ingress/fleet_state.cpp
+++ b/src/ingress/fleet_state.cpp
@@ -181,9 +181,10 @@
   return Rows.age(Now) < StoreFreshness;
 }
 
-const known_vm *fleet_state::storeReader(time_point Now) const {
+std::vector<fleet_state::reader_candidate>
+fleet_state::storeReaders(bool CountsSelf, time_point Now) const {
   std::vector<reader_candidate> Candidates;
-  if (!IsStoreLost)
+  if (CountsSelf)
     Candidates.push_back({readerRank(Options.Vm.Name, Options.Vm.Cores),
                           Options.Vm.FailureDomain, nullptr});
   for (const auto &[Name, Vm] : Vms) {
@@ -194,11 +195,20 @@
         Now - Vm.LastHeard < silenceTimeout(Vm, MinReaderSilence))
       Candidates.push_back({readerRank(Name, Vm.Cores), Vm.FailureDomain, &Vm});
   }
-  Candidates = chooseReaders(std::move(Candidates), readersWanted());
+  return chooseReaders(std::move(Candidates), readersWanted());
+}
+
+bool fleet_state::wouldReadStore(time_point Now) const {
+  const auto Readers = storeReaders(true, Now);
+  return std::any_of(Readers.begin(), Readers.end(),
+                     [](const auto &Reader) { return Reader.Vm == nullptr; });
+}
+
+const known_vm *fleet_state::storeReader(time_point Now) const {
   const known_vm *Chosen = nullptr;
   const std::uint64_t Own = stableHash(Options.Vm.Name.view());
   double BestScore = 0;
-  for (const auto &Candidate : Candidates) {
+  for (const auto &Candidate : storeReaders(!IsStoreLost, Now)) {
     if (Candidate.Vm == nullptr)
       return nullptr;
     // Scores are positive, so a large weight ranks near readers first.
--- a/src/ingress/refresh_schedule.cpp
+++ b/src/ingress/refresh_schedule.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds MinReadInterval{500};
 // Between a first failed read and the next one.
 constexpr milliseconds MinRetryInterval{250};
+// Between two reads that try whether the store answers this VM again, while
+// another one reads for it.
+constexpr milliseconds TrialInterval{2'000};
 
 } // namespace
 
@@ -24,6 +27,8 @@
     return false;
   if (Conditions.IsReader)
     return FailedReads == 0 || Now - *LastRead >= MinRetryInterval;
+  if (Conditions.IsOnTrial && Now - *LastRead >= TrialInterval)
+    return true;
   return Conditions.RowAge > Conditions.MaxRowAge &&
          Now - *LastRead >= MinReadInterval;
 }
--- a/tests/adapter/past_outage_test.cpp
+++ b/tests/adapter/past_outage_test.cpp
@@ -15,7 +15,10 @@
 /** A VM that reads the store for the VM under test. */
 class copying_reader {
 public:
-  explicit copying_reader(synchronizer_fixture &Fixture) : Fixture(Fixture) {
+  /** @param IsPreferred  before the VM under test, where both can read */
+  explicit copying_reader(synchronizer_fixture &Fixture,
+                          bool IsPreferred = true)
+      : Fixture(Fixture) {
     auto Started = http_server::start(
         Fixture.Pool, "127.0.0.1:0",
         [this](const http_exchange &) -> awaitable<http_reply> {
@@ -25,7 +28,7 @@
     REQUIRE(Started.ok());
     Server = std::move(*Started);
     // The VM whose name has the lowest hash reads for the others.
-    while (stableHash(Name) >= stableHash("vm-1"))
+    while ((stableHash(Name) < stableHash("vm-1")) != IsPreferred)
       Name += "x";
   }
 
@@ -211,3 +214,20 @@
   followReader(Fixture, Reader);
   CHECK(Fixture.onThread(IsOutdatedLater));
 }
+
+// Guards against a fleet that is left with one reader: a VM that followed
+// another one counted as cut off from the store for as long as that one lived,
+// and its loss left all without a reader.
+TEST_CASE("a VM that reads for others does so again after an outage") {
+  synchronizer_fixture Fixture;
+  copying_reader Reader(Fixture, false);
+  Fixture.start();
+  Fixture.awaitFirstRead();
+  haveOutage(Fixture);
+  followReader(Fixture, Reader);
+  Fixture.setBehavior(store_behavior::Serving);
+  CHECK(Fixture.awaitBriefly([&] {
+    Reader.introduce();
+    return !Fixture.Fleet.isStoreLost();
+  }));
+}
--- a/tests/ingress/reader_places_test.cpp
+++ b/tests/ingress/reader_places_test.cpp
@@ -83,3 +83,14 @@
       [](int Number) { return Number == 2 || Number == 4 ? 0.5 : 0.1; });
   CHECK(Fleet.readers() == std::set<vm_name>{vm_name("vm-2"), vm_name("vm-4")});
 }
+
+TEST_CASE("a VM that has lost the store knows whether it would read it") {
+  region_fleet Fleet([](int Number) { return Number < 2 ? 0.5 : 0.1; });
+  const auto Before = Fleet.readers();
+  CHECK(Before.size() == 2);
+  for (auto &State : Fleet.States)
+    State.setStoreLost(true);
+  for (const auto &State : Fleet.States)
+    CHECK(State.wouldReadStore(Start) ==
+          Before.contains(State.options().Vm.Name));
+}
--- a/tests/ingress/refresh_schedule_test.cpp
+++ b/tests/ingress/refresh_schedule_test.cpp
@@ -38,6 +38,18 @@
     CHECK(IsDue(milliseconds(5'000), seconds(5)));
   }
 
+  SUBCASE("a VM that is to read for others tries again at times") {
+    const auto IsTrialDue = [&](duration After) {
+      return Schedule.isReadDue({false, milliseconds(900), milliseconds(1'500),
+                                 milliseconds(250), true},
+                                Start + After);
+    };
+    Schedule.recordRead(false, Start - seconds(1));
+    Schedule.recordRead(false, Start);
+    CHECK(!IsTrialDue(seconds(1)));
+    CHECK(IsTrialDue(seconds(2)));
+  }
+
   SUBCASE("a VM without a reader reads at its own pace") {
     Schedule.recordRead(true, Start);
     CHECK(Schedule.isReadDue(
