--- a/include/sesamepaddle/moves/fleet_rollout.h
+++ b/include/sesamepaddle/moves/fleet_rollout.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sesamepaddle {
 
@@ -45,6 +46,18 @@
   std::optional<rollout_outcome> Recorded; ///< if known to the sender
 };
 
+/** How far one VM is with an order. */
+enum class rollout_stage : std::uint8_t {
+  Early,     ///< a small share of the requests goes to the new version
+  Shifting,  ///< all traffic is moving
+  Faulty,    ///< the new version was found to be bad
+  Completed, ///< recorded
+  RolledBack ///< recorded
+};
+
+/** @returns the name of @p Stage for logs. */
+std::string_view nameOf(rollout_stage Stage);
+
 /** Largest number of requests that a bad version may get, over all VMs: a share
     of the requests plus a fixed number. */
 struct rollout_limits {
@@ -107,6 +120,11 @@
 
   std::optional<rollout_outcome> recorded() const { return Recorded; }
 
+  rollout_stage stage() const;
+
+  /** @returns the counts of all routes and VMs that are known here. */
+  rollout_counts total() const;
+
   /** @returns the report to send to the other VMs. */
   rollout_report report() const;
 
--- a/src/ingress/ingress_node.cpp
+++ b/src/ingress/ingress_node.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cmath>
 #include <list>
+#include <map>
 
 namespace sesamepaddle {
 
@@ -369,6 +370,7 @@
       const bool IsReadyChanged = IsReady != std::exchange(WasReady, IsReady);
       for (auto &[Service, Rollout] : Fleet.rollouts())
         Rollout.advance(Now, Fleet.isStoreFresh(Now));
+      logRollouts();
       const auto Faulty = std::count_if(
           Fleet.rollouts().begin(), Fleet.rollouts().end(),
           [](const auto &Entry) { return Entry.second.report().IsFaulty; });
@@ -389,6 +391,21 @@
     }
   }
 
+  void logRollouts() {
+    for (const auto &[Service, Rollout] : Fleet.rollouts()) {
+      const auto Stage = Rollout.stage();
+      const std::pair Seen(Rollout.order().To, std::optional(Stage));
+      if (Seen == std::exchange(LoggedRollouts[Service], Seen))
+        continue;
+      const auto Counts = Rollout.total();
+      Log.info(absl::StrCat(
+          "rollout service=", Service.str(), " to=", Rollout.order().To.str(),
+          " stage=", toAbsl(nameOf(Stage)), " new_good=", Counts.NewGood,
+          " new_bad=", Counts.NewBad, " new_errors=", Counts.NewErrors,
+          " old_good=", Counts.OldGood, " old_bad=", Counts.OldBad));
+    }
+  }
+
   void logOutdatedRows(time_point Now) {
     const auto Outdated = Fleet.outdatedRows(Now);
     if (Outdated == std::exchange(LoggedOutdatedRows, Outdated))
@@ -506,6 +523,9 @@
   std::list<std::weak_ptr<caller_session>> OpenSessions;
   double LoggedFraction = 0;
   std::optional<row_kind> LoggedOutdatedRows;
+  /** Version and stage, by service. */
+  std::map<service_name, std::pair<version_name, std::optional<rollout_stage>>>
+      LoggedRollouts;
   bool WasReady = false;
   bool IsAcceptingPaused = false;  ///< no connection accepted since the pause
   std::ptrdiff_t KnownFaulty = 0;  ///< rollouts known to be faulty
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -102,6 +102,22 @@
 
 } // namespace
 
+std::string_view nameOf(rollout_stage Stage) {
+  switch (Stage) {
+  case rollout_stage::Early:
+    return "early";
+  case rollout_stage::Shifting:
+    return "shifting";
+  case rollout_stage::Faulty:
+    return "faulty";
+  case rollout_stage::Completed:
+    return "completed";
+  case rollout_stage::RolledBack:
+    return "rolled-back";
+  }
+  return "unknown";
+}
+
 fleet_rollout::fleet_rollout(rollout_order Order, rollout_limits Limits,
                              time_point Start)
     : Order(std::move(Order)), Limits(Limits), Start(Start) {}
@@ -231,6 +247,22 @@
   Proposal.reset();
 }
 
+rollout_stage fleet_rollout::stage() const {
+  if (Recorded)
+    return *Recorded == rollout_outcome::Completed ? rollout_stage::Completed
+                                                   : rollout_stage::RolledBack;
+  if (IsFaulty)
+    return rollout_stage::Faulty;
+  return IsShifting ? rollout_stage::Shifting : rollout_stage::Early;
+}
+
+rollout_counts fleet_rollout::total() const {
+  rollout_counts Total;
+  for (const auto &[Route, Counts] : sum())
+    add(Total, Counts);
+  return Total;
+}
+
 rollout_report fleet_rollout::report() const {
   return {Own, IsFaulty, Recorded};
 }
