A route that always fails says nothing of a new version

What callers saw: a good version was rolled back, or single VMs took it for bad as it was completed and sent to the old endpoints, which had stopped.

Cause: where every answer of the old version on a route is bad, as on one whose requests last longer than it allows, the expected share is 1 and its deviation 0. As many bad answers as expected then counted as too many, from five on.

Change: more than expected has to be more.

Evidence: 'a route that always fails says nothing of the new version' fails before.

--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -107,7 +107,7 @@
   const double Usual = std::clamp(UsualShare, MinUsualBadShare, 1.0);
   const double Deviation = std::sqrt(Answers * Usual * (1 - Usual));
   return Bad >= MinBadAnswers && Bad >= Answers * MinShare &&
-         Bad >= Answers * Usual + MinDeviations * Deviation;
+         Bad > Answers * Usual + MinDeviations * Deviation;
 }
 
 /** @returns true when @p Counts show that the new version is bad.
--- a/tests/moves/fleet_rollout_test.cpp
+++ b/tests/moves/fleet_rollout_test.cpp
@@ -286,6 +286,20 @@
   }
 }
 
+// Guards against a good version that is rolled back for a route whose requests
+// always fail, as they last longer than the route allows.
+TEST_CASE("a route that always fails says nothing of the new version") {
+  fleet_rollout Rollout(Order, {}, {Start});
+  for (int Count = 0; Count < 20; ++Count) {
+    Rollout.observe(route_name("report"), false, true);
+    Rollout.observe(route_name("report"), true, true);
+    Rollout.observe(route_name("chart"), false, false);
+    Rollout.observe(route_name("chart"), true, false);
+  }
+  Rollout.advance(Start + milliseconds(5'000), true);
+  CHECK_FALSE(Rollout.proposal());
+}
+
 TEST_CASE("a fault found by one VM stops the rollout on its peers") {
   fleet_rollout Rollout(Order, {}, {Start});
   rollout_report Report;
