A reset that meets an upload does not complete an answer without a length

Cause: the pool dropped errors of the write, as 'an error shows again when the answer is read'. A reset is reported once: to the pending write, after which the read ends as after an orderly close, and that completes such an answer.

Change: errors of the write are kept with the connection, that of the first try too. Where the write is still pending at the end of an answer without a length, poll() tells a connection that was reset, closed both ways, from one that the endpoint has ended. Such an answer is lost. A connection whose write failed is not used again.

--- a/src/ingress/upstream_pool.cpp
+++ b/src/ingress/upstream_pool.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <poll.h>
 
 namespace sesamepaddle {
 
@@ -95,6 +96,18 @@
     return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  /** @returns true when the endpoint has ended its side in order, after the
+      end of the stream was read. A reset that meets a write is reported by that
+      write alone; the read then ends as after an orderly close. */
+  bool hasEndedInOrder() {
+    if (HasWriteFailed || !IsWriting)
+      return !HasWriteFailed;
+    // The write may not have reported it yet. Unlike one that has been ended by
+    // the endpoint, a connection that was reset is closed both ways.
+    pollfd State{Socket.native_handle(), 0, 0};
+    return ::poll(&State, 1, 0) == 0;
+  }
+
   void close() {
     boost::system::error_code Ignored;
     Socket.close(Ignored);
@@ -115,8 +128,9 @@
   boost::beast::flat_buffer Buffer;
   std::vector<std::uint64_t> RequestIds; ///< hashes, oldest first
   time_point UsableUntil{};
-  bool IsWriting = false;  ///< a request is still being written
-  bool IsReusable = false; ///< the last answer left it in a clean state
+  bool IsWriting = false;      ///< a request is still being written
+  bool HasWriteFailed = false; ///< the connection ended in it
+  bool IsReusable = false;     ///< the last answer left it in a clean state
 };
 
 upstream_pool::upstream_pool(std::string Field, deadline_queue &Deadlines,
@@ -216,6 +230,7 @@
 
   const bool IsKept = Result.End == exchange_end::Answered &&
                       Connection->IsReusable && !Connection->IsWriting &&
+                      !Connection->HasWriteFailed &&
                       Connection->Socket.is_open();
   auto &Connections = Idle[Endpoint];
   if (IsKept && Connections.size() < MaxIdlePerEndpoint) {
@@ -233,11 +248,11 @@
   std::array<asio::const_buffer, 2> Buffers = {
       asio::buffer(Request->Head),
       asio::buffer(Request->Body.data(), Request->Body.size())};
-  // Most requests fit the socket's buffer. An error shows again when the answer
-  // is read.
+  // Most requests fit the socket's buffer.
   boost::system::error_code Error;
   std::size_t Written = Connection->Socket.write_some(Buffers, Error);
-  if (Written == asio::buffer_size(Buffers))
+  Connection->HasWriteFailed = Error && Error != asio::error::would_block;
+  if (Written == asio::buffer_size(Buffers) || Connection->HasWriteFailed)
     return;
   for (auto &Buffer : Buffers) {
     const auto Part = std::min(Written, Buffer.size());
@@ -249,8 +264,9 @@
   Connection->IsWriting = true;
   asio::async_write(
       Connection->Socket, Buffers,
-      [Connection, Request](const boost::system::error_code &, std::size_t) {
+      [Connection, Request](const boost::system::error_code &End, std::size_t) {
         Connection->IsWriting = false;
+        Connection->HasWriteFailed = End.failed();
       });
 }
 
@@ -356,6 +372,9 @@
     if (!Error && Fault.empty() && !Parser.is_done()) {
       Error = co_await read(Connection->Socket, Connection->Buffer, Parser,
                             *Memory, message_part::Whole);
+      // Only the end of the connection shows that such an answer is whole.
+      if (!Error && Parser.need_eof() && !Connection->hasEndedInOrder())
+        Error = asio::error::connection_reset;
       // Of the trailer.
       if (Parser.chunked())
         Fault = findHeadFault(Message, headOf(Message), RequestIdField);
