Counts of a rollout over all routes are added up without a map

Judging the trial adds up the counts of all VMs several times in each pass. By route that is a map of strings each time, on a VM with a fraction of a core; the sums over all routes need none. newSamples() was one of them.

test_moves passes; no figure of processor time was taken.

--- a/include/sesamepaddle/moves/fleet_rollout.h
+++ b/include/sesamepaddle/moves/fleet_rollout.h
@@ -181,7 +181,6 @@
 
   counts_by_route sum() const;
   bool isFaultFound(time_point Now);
-  std::size_t newSamples() const;
   /** @returns the answers to requests of the whole load that are needed. */
   double trialAnswersWanted(time_point Now) const;
   /** @returns true when the new version has borne the whole load. */
--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -238,7 +238,7 @@
          (MaxTrialBadShare + UsualShare) * (Answers + Trial.Overdue);
 }
 
-// Its endpoints know no object yet.
+// The endpoints of the new version know no object yet.
 duration fleet_rollout::lateTime() const {
   duration Late = LateFactor * Terms.AnswerTime;
   for (const auto &[Route, Usual] : UsualByRoute)
@@ -319,16 +319,6 @@
   return isWorse(All, All) || isWorse(AllLatest, All);
 }
 
-std::size_t fleet_rollout::newSamples() const {
-  std::size_t Samples = 0;
-  for (const auto &[Route, Counts] : Own)
-    Samples += Counts.NewGood + Counts.NewBad;
-  for (const auto &[Vm, Report] : Peers)
-    for (const auto &[Route, Counts] : Report.CountsByRoute)
-      Samples += Counts.NewGood + Counts.NewBad;
-  return Samples;
-}
-
 void fleet_rollout::advance(time_point Now, bool IsStoreFresh) {
   LatestAdvance = Now;
   if (Recorded)
@@ -346,8 +336,9 @@
     Proposal = rollout_outcome::RolledBack;
     return;
   }
-  const bool IsJudged = static_cast<double>(newSamples()) >=
-                        EarlyAnswersPart * trialAnswersWanted(Now);
+  const auto All = total();
+  const bool IsJudged =
+      All.NewGood + All.NewBad >= EarlyAnswersPart * trialAnswersWanted(Now);
   const bool IsDue = IsJudged && Age >= Order.Duration - shiftTime(Now);
   const bool WasShifting = IsShifting;
   IsShifting = IsStoreFresh && (WasShifting || IsDue);
@@ -384,8 +375,11 @@
 
 rollout_counts fleet_rollout::total() const {
   rollout_counts Total;
-  for (const auto &[Route, Counts] : sum())
+  for (const auto &[Route, Counts] : Own)
     add(Total, Counts);
+  for (const auto &[Vm, Report] : Peers)
+    for (const auto &[Route, Counts] : Report.CountsByRoute)
+      add(Total, Counts);
   return Total;
 }
 
