--- a/src/moves/fleet_rollout.cpp
+++ b/src/moves/fleet_rollout.cpp
@@ -27,7 +27,7 @@
 
 // Answers to requests of the whole load that show that the new version bears
 // it: those of TrialSeconds, within these limits. With 24, a version that fails
-// one request in three passes in one case of 250.
+// one request in three passes in one case of 200.
 constexpr double TrialSeconds = 1.5;
 constexpr double MinTrialAnswers = 12;
 constexpr double MaxTrialAnswers = 24;
